--- a/linenpath/__init__.py
+++ /dev/null
@@ -1,7 +0,0 @@
-"""linenpath: the decisions of a dispatcher that pushes jobs to workers (see README.md)."""
-
-from linenpath.balance import Balancer
-from linenpath.interface import Settings
-
-__all__ = ["Balancer", "Settings"]
-__version__ = "0.1.0"
--- a/linenpath/drill.py
+++ b/millethead/drill.py
@@ -5,8 +5,8 @@
 import sys
 from typing import BinaryIO
 
-from linenpath import wire
-from linenpath.balance import Balancer
+from millethead import wire
+from millethead.balance import Balancer
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
@@ -46,10 +46,10 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"linenpath: malformed frame: {error}", file=sys.stderr)
+        print(f"millethead: malformed frame: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
-        print("linenpath: the reader of the replies is gone", file=sys.stderr)
+        print("millethead: the reader of the replies is gone", file=sys.stderr)
         return 1
     return 0
 
--- a/linenpath/wire.py
+++ b/millethead/wire.py
@@ -10,7 +10,7 @@
 import struct
 from typing import Any, BinaryIO
 
-from linenpath import interface as api
+from millethead import interface as api
 
 HEADER = struct.Struct("<dIII")
 REPLY = struct.Struct("<II")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -5,8 +5,8 @@
 import heapq
 from dataclasses import dataclass, field
 
-from linenpath import interface as api
-from linenpath.balance import Balancer
+from millethead import interface as api
+from millethead.balance import Balancer
 
 
 @dataclass
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -4,8 +4,8 @@
 
 from harness import Node
 
-from linenpath import interface as api
-from linenpath.balance import ASK, ENDED, LOAD, NOTE, SENT
+from millethead import interface as api
+from millethead.balance import ASK, ENDED, LOAD, NOTE, SENT
 
 SAFE = api.JobClass(deadline=5000, aim=2000, stretch=2, effect=api.Effect.SAFE)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from linenpath import interface as api
-from linenpath import wire
+from millethead import interface as api
+from millethead import wire
 
 SETTINGS = {
     "classes": [{"deadline": 5000.0, "goal_time": 200.0, "effect": "retryable", "late_worth": 0.3},
@@ -46,7 +46,7 @@
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    command = [sys.executable, "-m", "linenpath.drill"]
+    command = [sys.executable, "-m", "millethead.drill"]
     return subprocess.run(command, input=data, capture_output=True, timeout=60)
 
 
@@ -95,7 +95,7 @@
 def test_a_malformed_frame_ends_it_with_one_plain_line(data):
     done = run(frame(opened(json.dumps(SETTINGS))) + data)
     assert done.returncode != 0
-    assert done.stderr.startswith(b"linenpath: malformed frame:") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"millethead: malformed frame:") and done.stderr.count(b"\n") == 1
     assert len(replies(done.stdout)) == 1
 
 
