--- /dev/null
+++ b/millethead/__main__.py
@@ -0,0 +1,7 @@
+"""python -m millethead"""
+
+import sys
+
+from millethead.cli import main
+
+sys.exit(main())
--- a/millethead/drill.py
+++ b/millethead/adapter/__main__.py
@@ -5,8 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from millethead import wire
-from millethead.balance import Balancer
+from millethead.adapter import wire
+from millethead.decide.balance import Balancer
+from millethead.decide.settings import SettingsError, settings_from
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
@@ -22,10 +23,10 @@
             elif code == 16:
                 instance, seed, text = decoder.opening(body, at, end)
                 try:
-                    info, settings = wire.settings_from(text)
+                    info, settings = settings_from(text)
                     decoder.open(instance, info)
                     nodes[instance] = Balancer(settings, seed)
-                except wire.SettingsError as error:
+                except SettingsError as error:
                     nodes.pop(instance, None)
                     out.append(wire.fault(instance, str(error)))
             elif code == 25:
--- /dev/null
+++ b/millethead/config.py
@@ -0,0 +1,64 @@
+"""What the platform tells a dispatcher: the environment and the configuration file."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from millethead.decide.interface import Settings
+from millethead.decide.settings import SettingsError, settings_from
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+def parse_address(text: Any, what: str) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    host = host.strip("[]")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{what}: not an address: {text!r}")
+    return host, int(port)
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: Any
+    info: dict[str, Any]
+    settings: Settings
+
+    def names(self, key: str) -> list[str]:
+        return [str(x["name"] if isinstance(x, dict) else x) for x in self.info.get(key) or ()]
+
+
+def load_config(env: Mapping[str, str] = os.environ) -> Config:
+    """The file that BALANCER_CONFIG names; the other variables stand in for what it leaves out."""
+    path = env.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: not a JSON object")
+    try:
+        info, settings = settings_from(json.dumps(raw.get("settings")).encode())
+        seed = int(str(raw.get("seed") or "0"), 16)
+        sockets = int((raw.get("limits") or {}).get("sockets") or 1024)
+        return Config(
+            name=str(raw.get("name") or env.get("BALANCER_NAME") or "dispatcher"),
+            listen=parse_address(raw.get("listen") or env.get("BALANCER_LISTEN"), "listen"),
+            discovery=parse_address(raw.get("discovery") or env.get("BALANCER_DISCOVERY"), "discovery"),
+            seed=seed, sockets=sockets, known=raw.get("known"), info=info, settings=settings)
+    except (SettingsError, ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
--- a/millethead/balance.py
+++ b/millethead/decide/balance.py
@@ -1,4 +1,4 @@
-"""All decisions of millethead. Settings, events and actions: millethead/interface.py.
+"""All decisions of millethead. Settings, events and actions: millethead/decide/interface.py.
 
 Jobs wait in one flow per tenant and leave by RBFQ (RePAIR, 3.1 and 3.3): the smallest due local tag, else the
 smallest global tag. A released job goes to a random fitting worker, weighted by estimated free slots.
@@ -14,8 +14,8 @@
 from random import Random
 from struct import Struct
 
-from millethead import interface as api
-from millethead.interface import NEVER_RAN, Effect, Group, ListForm, Outcome, WorkerState
+from millethead.decide import interface as api
+from millethead.decide.interface import NEVER_RAN, Effect, Group, ListForm, Outcome, WorkerState
 
 IDLE_CREDIT = 2.0  # sigma: jobs' worth of global lag that a returning tenant keeps
 SWEEP = 4.0  # ticks to the first look at the waiting jobs; later looks come at longer intervals
--- /dev/null
+++ b/millethead/exchange/core.py
@@ -0,0 +1,352 @@
+"""The exchange: owns each job from arrival to its one final answer, with its attempts and what may have run.
+
+Client side calls `arrive` and `withdraw` and is called back once with the answer. Server side is told to
+`start`, `give_up` or `probe` and calls `ended`, `probed` and `listed`. What to do is said by the decision
+module alone: each of these calls becomes one of its events, and its actions are carried out in order.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from zlib import crc32
+
+import structlog
+
+from millethead.decide import interface as api
+from millethead.decide.balance import Balancer
+from millethead.exchange.model import (
+    Answer,
+    Attempt,
+    Cancellable,
+    Clock,
+    Final,
+    Listed,
+    Order,
+    Roster,
+    ServerSide,
+    Worker,
+)
+
+KEPT = 8192  # outcomes remembered
+KEPT_FOR = 120_000.0  # ms that an outcome is remembered
+HELD = 4096  # jobs held at once; the sockets bound them further
+BODIES = 48 << 20  # bytes of all bodies held
+OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class Record:
+    """A job's outcome, kept for a bounded time."""
+
+    at: float
+    answer: Answer | None = None
+    may_have_run: bool = False
+    came: float = 0.0
+
+
+@dataclass(slots=True)
+class _Held:
+    number: int
+    order: Order
+    reply: Callable[[Answer], None] | None
+    end: float
+    came: float
+    record: Record
+    attempts: list[Attempt] = field(default_factory=list)
+    out: int = 0
+    closed: bool = False
+    timer: Cancellable | None = None
+
+
+class Exchange:
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
+        self.settings, self.clock = settings, clock
+        self.roster: Roster | None = None
+        self.finished: Callable[[Order, Answer, float, float], None] | None = None
+        self.on_empty: Callable[[], None] | None = None
+        self.closing = False
+        self._module = Balancer(settings, seed)
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._jobs: dict[int, _Held] = {}
+        self._numbers = 0
+        self._bodies = 0
+        self._records: OrderedDict[tuple[str, str], Record] = OrderedDict()
+        self._held_ids: dict[tuple[str, str], _Held] = {}
+        self._workers: dict[int, Worker] = {}
+        self._names: dict[str, Worker] = {}
+
+    # ---- client side -------------------------------------------------------------------------------
+
+    @property
+    def ready(self) -> bool:
+        """Whether some worker is known to which work could go."""
+        return not self.closing and any(w.open for w in self._workers.values())
+
+    @property
+    def held(self) -> int:
+        """Jobs that still owe their final answer."""
+        return len(self._held_ids)
+
+    def record(self, origin: str, job_id: str) -> Record | None:
+        """What is known of a job by its id: held (no answer yet), or ended not long ago."""
+        held = self._held_ids.get((origin, job_id))
+        return held.record if held is not None else self._records.get((origin, job_id))
+
+    def arrive(self, order: Order, reply: Callable[[Answer], None]) -> int:
+        """Take a job in; `reply` is called once with its final answer unless it is withdrawn first."""
+        now, name = self.clock.now(), (order.origin, order.id)
+        known = self.record(*name)
+        cls = self.settings.classes[order.job_class]
+        if name in self._held_ids or (known is not None and known.may_have_run
+                                      and cls.effect is not api.Effect.SAFE):
+            # ids are never reused, so this is the same job again: running it once more could charge twice
+            log.warning("job_id_repeated", job=order.id)
+            reply(Answer(Final.FAILED))
+            return 0
+        if self.closing or len(self._jobs) >= HELD or self._bodies + len(order.body) > BODIES:
+            log.warning("job_not_taken", job=order.id, closing=self.closing, held=len(self._jobs))
+            reply(Answer(Final.REFUSED))
+            return 0
+        self._numbers += 1
+        number = self._numbers
+        held = _Held(number, order, reply, now + order.left, now, Record(now, came=now))
+        self._jobs[number] = self._held_ids[name] = held
+        self._bodies += len(order.body)
+        held.timer = self.clock.later(order.left + OVERDUE, lambda: self._overdue(held))
+        self._feed(api.JobArrived(number, order.job_class, order.left, order.slots, order.memory,
+                                  order.tenant, order.route_key, order.expected_work, order.repeat))
+        return number
+
+    def withdraw(self, number: int) -> None:
+        """The client is gone: nothing more is owed."""
+        held = self._jobs.get(number)
+        if held is not None and not held.closed:
+            log.info("job_withdrawn", job=held.order.id)
+            self._close(held, None)
+            self._feed(api.JobWithdrawn(number))
+            self._forget(held)
+
+    def close(self) -> None:
+        """Take nothing more; `on_empty` is called when all that is held has its answer."""
+        self.closing = True
+        self._empty()
+
+    # ---- server side -------------------------------------------------------------------------------
+
+    def worker(self, name: str) -> Worker | None:
+        return self._names.get(name)
+
+    def listed(self, side: ServerSide, form: api.ListForm, lines: Iterable[Listed] = ()) -> None:
+        """A list, or changes of it, from one server side. A whole list speaks for that side alone."""
+        entries: list[api.WorkerEntry] = []
+        named: set[str] = set()
+        for line in lines:
+            named.add(line.name)
+            worker = self._names.get(line.name)
+            if worker is not None and worker.side is not side:
+                log.warning("worker_name_taken", worker=line.name)
+                continue
+            if worker is None:
+                if line.state is api.WorkerState.GONE:
+                    continue
+                worker = self._workers_new(line, side)
+            elif worker.entry.state is not line.state:
+                log.info("worker_state", worker=line.name, state=line.state.name.lower())
+            worker.take(line)
+            entries.append(worker.entry)
+            if line.state is api.WorkerState.GONE:
+                self._drop(worker)
+        if form in (api.ListForm.FULL, api.ListForm.CACHED):
+            for worker in list(self._workers.values()):
+                if worker.side is not side:
+                    entries.append(worker.entry)
+                elif worker.name not in named:
+                    self._drop(worker)
+        self._feed(api.WorkerList(form, tuple(entries)))
+
+    def ended(self, attempt: Attempt, outcome: api.Outcome, result: bytes = b"",
+              report: api.Report | None = None) -> None:
+        """An attempt's outcome; only the first that is told counts."""
+        if attempt.outcome is not None:
+            return
+        attempt.outcome = outcome
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+        held = self._jobs[attempt.job]
+        held.out -= 1
+        if outcome not in api.NEVER_RAN:
+            held.record.may_have_run = True
+        if outcome is not api.Outcome.OK:
+            log.info("attempt_ended", job=attempt.order.id, attempt=attempt.number,
+                     worker=attempt.worker.name, outcome=outcome.name.lower())
+        if outcome is api.Outcome.OK and not held.closed:
+            self._close(held, Answer(Final.SERVED, result))
+        self._feed(api.AttemptEnded(attempt.job, attempt.number, attempt.worker.number, outcome,
+                                    self.clock.now() - attempt.sent, held.closed, report))
+        self._forget(held)
+
+    def probed(self, worker: Worker, outcome: api.Outcome, elapsed: float = 0.0,
+               report: api.Report | None = None) -> None:
+        self._feed(api.ProbeEnded(worker.number, outcome, elapsed, report))
+
+    # ---- the module's events and actions -----------------------------------------------------------
+
+    def _feed(self, event: api.Event) -> None:
+        # an action may end an attempt on the spot: such events wait until the actions before them are done
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    actions = self._module.handle(self.clock.now(), event)
+                except Exception:
+                    log.exception("module_failed", event_type=type(event).__name__)
+                    continue
+                for action in actions:
+                    self._act(action)
+        finally:
+            self._busy = False
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.SetTimer(token=token, delay=delay):
+                self.clock.later(delay, lambda: self._feed(api.TimerFired(token)))
+            case api.Send():
+                self._send(action)
+            case api.Probe(worker=number):
+                worker = self._workers.get(number)
+                if worker is not None:
+                    worker.side.probe(worker)
+            case api.Refuse(job=number, pause=pause):
+                self._answer(number, Answer(Final.REFUSED, pause=pause))
+            case api.Fail(job=number):
+                self._answer(number, Answer(Final.FAILED))
+            case api.CancelAttempt(job=number, attempt=index):
+                held = self._jobs.get(number)
+                if held is not None and held.attempts[index].outcome is None:
+                    self._give_up(held.attempts[index], api.Outcome.CANCELLED)
+            case api.WatchWorkers(on=on):
+                if self.roster is not None:
+                    self.roster.watch(on)
+            case api.ListWorkers():
+                if self.roster is not None:
+                    self.roster.ask()
+            case _:  # pragma: no cover - TellPeers: this deployment has no peer messages
+                log.error("action_unknown", action=type(action).__name__)
+
+    def _send(self, action: api.Send) -> None:
+        held, worker = self._jobs.get(action.job), self._workers.get(action.worker)
+        if held is None:
+            log.error("send_without_job", number=action.job)
+            return
+        now = self.clock.now()
+        end = min(held.end, now + action.timeout) if action.timeout else held.end
+        if worker is None:
+            log.error("send_to_unknown_worker", job=held.order.id, worker=action.worker)
+            worker = Worker(action.worker, Listed("unknown"), _Nowhere())
+        attempt = Attempt(held.order, held.number, len(held.attempts), worker, now, end,
+                          any(a.worker.name == worker.name for a in held.attempts))
+        held.attempts.append(attempt)
+        held.out += 1
+        effect = self.settings.classes[held.order.job_class].effect
+        again = held.record.may_have_run or held.out > 1
+        if held.closed or end <= now or attempt.number >= self.settings.max_attempts or isinstance(
+                worker.side, _Nowhere):
+            self.ended(attempt, api.Outcome.NEVER_SENT)
+        elif effect is api.Effect.UNSAFE and again:  # the last guard of the rule that matters most
+            log.error("unsafe_resend_stopped", job=held.order.id)
+            self.ended(attempt, api.Outcome.NEVER_SENT)
+        else:
+            attempt.timer = self.clock.later(end - now, lambda: self._give_up(attempt, api.Outcome.TIMEOUT))
+            worker.side.start(attempt)
+
+    def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        if attempt.outcome is None:
+            attempt.worker.side.give_up(attempt)
+            self.ended(attempt, outcome)
+
+    # ---- the one final answer ----------------------------------------------------------------------
+
+    def _answer(self, number: int, answer: Answer) -> None:
+        held = self._jobs.get(number)
+        if held is not None and not held.closed:
+            self._close(held, answer)
+            self._forget(held)
+
+    def _close(self, held: _Held, answer: Answer | None) -> None:
+        """The one place where a job gets its answer (None: its client is gone)."""
+        held.closed = True
+        if held.timer is not None:
+            held.timer.cancel()
+        name = held.order.origin, held.order.id
+        del self._held_ids[name]
+        now = self.clock.now()
+        held.record.at, held.record.answer = now, answer
+        held.record.may_have_run |= held.out > 0
+        self._records[name] = held.record
+        self._records.move_to_end(name)
+        while self._records and (len(self._records) > KEPT
+                                 or next(iter(self._records.values())).at < now - KEPT_FOR):
+            self._records.popitem(last=False)
+        if answer is not None:
+            if answer.final is not Final.SERVED:
+                log.info("job_" + answer.final.value, job=held.order.id, attempts=len(held.attempts),
+                         after_ms=round(now - held.came))
+            if held.reply is not None:
+                held.reply(answer)
+            if self.finished is not None:
+                self.finished(held.order, answer, held.came, now)
+        held.reply = None
+        self._empty()
+
+    def _forget(self, held: _Held) -> None:
+        if held.closed and not held.out and self._jobs.pop(held.number, None) is not None:
+            self._bodies -= len(held.order.body)
+
+    def _overdue(self, held: _Held) -> None:
+        if not held.closed:  # the module's own timer comes sooner: only its failure leads here
+            log.error("job_overdue", job=held.order.id)
+            self._answer(held.number, Answer(Final.FAILED))
+            self._feed(api.JobWithdrawn(held.number))
+
+    def _empty(self) -> None:
+        if self.closing and not self._held_ids and self.on_empty is not None:
+            call, self.on_empty = self.on_empty, None
+            call()
+
+    # ---- workers -----------------------------------------------------------------------------------
+
+    def _workers_new(self, line: Listed, side: ServerSide) -> Worker:
+        """Numbers come from names: every node deals out the turns of a cold worker by them alike."""
+        number = crc32(line.name.encode())
+        while number in self._workers:
+            number = (number + 1) & 0xFFFFFFFF
+        worker = self._workers[number] = self._names[line.name] = Worker(number, line, side)
+        return worker
+
+    def _drop(self, worker: Worker) -> None:
+        worker.open = False
+        self._workers.pop(worker.number, None)
+        self._names.pop(worker.name, None)
+
+
+class _Nowhere:
+    """Stands in for the side of a worker that no list has named: nothing is ever started there."""
+
+    def start(self, attempt: Attempt) -> None:
+        raise AssertionError("nothing is sent to a worker that no list named")
+
+    def give_up(self, attempt: Attempt) -> None:
+        pass
+
+    def probe(self, worker: Worker) -> None:
+        pass
--- /dev/null
+++ b/millethead/exchange/model.py
@@ -0,0 +1,128 @@
+"""What client side and server side say to the exchange, and what it says to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from millethead.decide.interface import ListForm, Outcome, Report, WorkerEntry, WorkerState
+
+
+class Final(Enum):
+    """The three final answers. A job gets exactly one."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A job's final answer: `result` is what a worker made, `pause` (ms) when a refused client may return."""
+
+    final: Final
+    result: bytes = b""
+    pause: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    """One job as a client handed it in. `target` and `body` are the job's content; the core reads neither."""
+
+    id: str
+    job_class: int
+    left: float
+    tenant: int = 0
+    target: str = ""
+    body: bytes = b""
+    once_key: str = ""
+    route_key: int = 0
+    slots: float = 1.0
+    memory: float = 0.0
+    expected_work: float | None = None
+    repeat: bool = False
+    origin: str = ""
+    peer: tuple[str, int] | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """One line of a worker list, by name. `started` is Unix time in ms, 0 for long ago."""
+
+    name: str
+    address: tuple[str, int] | None = None
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    state: WorkerState = WorkerState.READY
+    rating: float = 1.0
+    started: float = 0.0
+
+
+class Worker:
+    """A worker that some list has named, with the server side that reaches it."""
+
+    __slots__ = ("address", "entry", "name", "number", "open", "side")
+
+    def __init__(self, number: int, listed: Listed, side: ServerSide) -> None:
+        self.number, self.name, self.side = number, listed.name, side
+        self.take(listed)
+
+    def take(self, listed: Listed) -> None:
+        self.address = listed.address
+        self.open = listed.state is WorkerState.READY
+        self.entry = WorkerEntry(self.number, listed.zone, listed.kind, listed.cell, listed.state,
+                                 listed.rating, listed.started)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One sending of a job to a worker. `whole`: its last byte was written, so it may have run."""
+
+    order: Order
+    job: int
+    number: int
+    worker: Worker
+    sent: float
+    end: float
+    earlier_here: bool = False
+    whole: bool = False
+    outcome: Outcome | None = None
+    timer: Cancellable | None = None
+    channel: Any = field(default=None)
+
+
+class Cancellable(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Clock(Protocol):
+    """Time as the core sees it: milliseconds, Unix time at the start, never backwards."""
+
+    def now(self) -> float: ...
+
+    def later(self, delay: float, call: Callable[[], None]) -> Cancellable: ...
+
+
+class ServerSide(Protocol):
+    """What the exchange asks of those who reach workers. Each call returns at once; ends come as `ended`."""
+
+    def start(self, attempt: Attempt) -> None: ...
+
+    def give_up(self, attempt: Attempt) -> None: ...
+
+    def probe(self, worker: Worker) -> None: ...
+
+
+class Roster(Protocol):
+    """What the exchange asks of discovery; the answer comes as `listed`."""
+
+    def watch(self, on: bool) -> None: ...
+
+    def ask(self) -> None: ...
+
+
+__all__ = ["Answer", "Attempt", "Cancellable", "Clock", "Final", "ListForm", "Listed", "Order", "Outcome",
+           "Report", "Roster", "ServerSide", "Worker", "WorkerState"]
--- /dev/null
+++ b/millethead/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Export of flow records."""
--- /dev/null
+++ b/millethead/fronts/platform.py
@@ -0,0 +1,98 @@
+"""The platform's HTTP/1.1: one job a request, call-backs of workers, and the readiness check."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+from millethead.decide import interface as api
+from millethead.exchange.core import Exchange
+from millethead.exchange.model import Answer, Final, Order
+from millethead.net.accept import Reply
+from millethead.net.connection import Connection
+from millethead.net.exchange import exchange_job
+from millethead.net.news import Take, read_news
+from millethead.net.parse import BadMessage, Request
+
+PAUSE = 1000.0  # ms that a refused client is asked to stay away where the module gives no figure
+_ID = re.compile(r"[!-.0-~]{1,128}")  # printable, and no slash: it becomes part of a path
+_COOKIE = re.compile(r"(?:^|;)\s*k=\"?([0-9A-Za-z_-]{1,64})\"?\s*(?:;|$)")
+_ATTRS = {"slots": "slots", "needs": "slots", "memory": "memory", "mem_needed": "memory"}
+METHODS = {"/api": "POST", "/_jobs/news": "POST", "/up": "GET"}
+
+
+class PlatformFront:
+    def __init__(self, exchange: Exchange, classes: list[str], tenants: list[str], take: Take,
+                 report: Callable[[str], api.Report | None]) -> None:
+        self.exchange, self.take, self.report = exchange, take, report
+        self.classes = {name: n for n, name in enumerate(classes)}
+        self.tenants = {name: n for n, name in enumerate(tenants)}
+
+    async def serve(self, conn: Connection, request: Request) -> Reply | None:
+        """The reply to a request; None if nobody is left to read it."""
+        method = METHODS.get(request.path)
+        if method is None:
+            return Reply(404, b"no such path\n")
+        if request.method != method:
+            return Reply(405, b"no such method here\n", {"Allow": method})
+        try:
+            if request.path == "/up":
+                return Reply(200, b"ready\n") if self.exchange.ready else Reply(503, b"not ready\n")
+            if request.path == "/_jobs/news":
+                read_news(request.body, self.report, self.take)
+                return Reply(200)
+            order = self.order(request, conn)
+        except BadMessage as bad:
+            return Reply(bad.status, f"{bad}\n".encode())
+        answer = await exchange_job(self.exchange, conn, order)
+        return None if answer is None else reply_for(answer)
+
+    def order(self, request: Request, conn: Connection) -> Order:
+        fields = request.fields
+        job_id, left = fields.get("x-request-id", ""), _number(fields.get("x-timeout"))
+        if not _ID.fullmatch(job_id):
+            raise BadMessage(400, "no usable X-Request-ID")
+        if left is None or left <= 0:
+            raise BadMessage(400, "no usable X-Timeout")
+        job_class = self.classes.get(fields.get("x-priority-class", ""))
+        if job_class is None:
+            raise BadMessage(400, "an unknown X-Priority-Class")
+        tenant = self.tenants.get(fields.get("x-tenant-id", ""), 0 if not self.tenants else None)
+        if tenant is None:
+            raise BadMessage(400, "an unknown X-Tenant-Id")
+        attrs: dict[str, float] = {"slots": 1.0, "memory": 0.0}
+        for pair in fields.get("x-attrs", "").split(","):
+            name, _, value = pair.partition("=")
+            number = _number(value)
+            if name.strip() in _ATTRS and number is not None and number >= 0:
+                attrs[_ATTRS[name.strip()]] = number
+        cost, cookie = _number(fields.get("x-cost")), _COOKIE.search(fields.get("cookie", ""))
+        limit = self.exchange.settings.classes[job_class].deadline
+        return Order(
+            job_id, job_class, min(left * 1000, limit), tenant, request.target, request.body,
+            fields.get("idempotency-key", ""), route_key(cookie[1]) if cookie else 0,
+            attrs["slots"] or 1.0, attrs["memory"], None if cost is None else cost / 1000,
+            fields.get("x-retried") == "1", "http", conn.peer)
+
+
+def reply_for(answer: Answer) -> Reply:
+    if answer.final is Final.SERVED:
+        return Reply(200, answer.result)
+    if answer.final is Final.REFUSED:
+        return Reply(503, b"refused\n", {"Retry-After": f"{(answer.pause or PAUSE) / 1000:g}"})
+    return Reply(502, b"failed\n")
+
+
+def route_key(text: str) -> int:
+    try:
+        return int(text, 16) & 0xFFFFFFFFFFFFFFFF
+    except ValueError:
+        return int.from_bytes(text.encode()[:8], "little")
+
+
+def _number(text: str | None) -> float | None:
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return value if abs(value) < 1e12 else None
--- /dev/null
+++ b/millethead/net/connection.py
@@ -0,0 +1,93 @@
+"""A TCP connection: Tornado's IOStream with the connection's one buffer."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from typing import TypeVar, cast
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from millethead.net.buffer import Buffer
+
+T = TypeVar("T")
+WRITE_BUFFER = 256 << 10
+Closed = StreamClosedError
+
+
+class Late(Exception):
+    """The peer took too long."""
+
+
+async def within(seconds: float, what: Awaitable[T]) -> T:
+    """Wait so long at most; raises Late. The connection is to be closed after that: its read goes on."""
+    try:
+        return await asyncio.wait_for(what, max(0.0, seconds))
+    except TimeoutError:
+        raise Late from None
+
+
+class Connection:
+    __slots__ = ("buffer", "idle_since", "stream")
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream, self.buffer = stream, Buffer()
+        self.idle_since = 0.0
+        stream.set_nodelay(True)
+
+    @property
+    def peer(self) -> tuple[str, int] | None:
+        try:
+            host, port, *_ = self.stream.socket.getpeername()
+        except OSError:
+            return None
+        return str(host), int(port)
+
+    async def fill(self) -> None:
+        """Read at least one byte; raises Closed at the end of the stream."""
+        view = self.buffer.room()
+        self.buffer.filled(await self.stream.read_into(cast(bytearray, view), partial=True))
+
+    async def take(self, count: int) -> bytes:
+        """Exactly `count` bytes, in pieces, so that the buffer need not hold them all."""
+        parts = []
+        while count:
+            if not len(self.buffer):
+                await self.fill()
+            parts.append(self.buffer.take(count))
+            count -= len(parts[-1])
+        return b"".join(parts)
+
+    async def line(self, limit: int) -> bytes | None:
+        """A line without its CR LF; None if it is longer than `limit` or ends otherwise."""
+        seen = 0
+        while (at := self.buffer.find(b"\n", seen)) < 0:
+            seen = len(self.buffer)
+            if seen > limit:
+                return None
+            await self.fill()
+        line = self.buffer.take(at + 1)
+        return line[:-2] if at <= limit and line[-2:] == b"\r\n" else None
+
+    async def write(self, data: bytes) -> None:
+        """Write all; raises Closed if the connection breaks before the last byte is written."""
+        await self.stream.write(data)
+
+    def on_close(self, call: Callable[[], None] | None) -> None:
+        self.stream.set_close_callback(call)
+
+    def quiet(self) -> bool:
+        """Whether nothing has come, not even the peer's close, since the last message was read."""
+        if self.stream.closed() or len(self.buffer):
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        self.stream.close()
--- /dev/null
+++ b/millethead/net/discovery.py
@@ -0,0 +1,193 @@
+"""Discovery: the watch on the worker list, and asking for the whole list where the watch cannot be had."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any, cast
+
+import structlog
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
+
+from millethead.decide.interface import ListForm, WorkerState
+from millethead.exchange.core import Exchange
+from millethead.exchange.model import Listed, ServerSide
+from millethead.net.connection import WRITE_BUFFER, Closed, Connection, Late, within
+from millethead.net.parse import (
+    BadMessage,
+    body_length,
+    chunk_end,
+    chunk_size,
+    parse_response,
+    read_head,
+    read_response,
+)
+from millethead.net.pool import READ_BUFFER, Address
+
+log = structlog.get_logger()
+CONNECT_TIME = 1.0  # s
+ANSWER_TIME = 5.0  # s: calls wait in turn at discovery
+SILENCE = 7.0  # s: an empty line comes every 2 s
+LINE = 1 << 20
+ASK_AFTER = 2  # watches that failed in a row before the whole list is asked for instead
+PAUSE, PAUSE_MOST = 0.25, 2.0  # s before asking, by failures: a list that came must not start a tight loop
+STATES = {"in_service": WorkerState.READY, "terminating": WorkerState.DRAINING,
+          "terminated": WorkerState.GONE}
+
+
+class BadList(Exception):
+    """Discovery wrote what cannot be meant."""
+
+
+class Names:
+    """Zones and machine kinds by name, as the settings index them."""
+
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+        self.zones = {name: n for n, name in enumerate(zones)}
+        self.kinds = {name: n for n, name in enumerate(kinds)}
+
+    def entry(self, raw: Any) -> Listed:
+        try:
+            name, state = raw["name"], STATES[raw["status"]]
+            host, _, port = raw["address"].rpartition(":")
+            weight, started, cell = float(raw.get("weight", 1.0)), float(raw.get("since_ms", 0)), raw["group"]
+            if not isinstance(name, str) or not name or not host or not 0 < int(port) < 65536:
+                raise BadList("an entry without name or address")
+            if not isinstance(cell, int) or cell < 0 or not math.isfinite(weight + started) or started < 0:
+                raise BadList("an entry with impossible figures")
+            return Listed(name, (host.strip("[]"), int(port)), self.zones.get(raw["zone"], len(self.zones)),
+                          self.kinds.get(raw["type"], len(self.kinds)), cell, state, weight, started)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise BadList(f"an entry that cannot be read: {error!r}") from None
+
+    def read(self, raw: Any) -> tuple[int, bool, list[Listed]]:
+        """(version, whether it is the whole list, entries) of one object."""
+        if not isinstance(raw, dict):
+            raise BadList("no object")
+        index, whole, lines = raw.get("index"), raw.get("snapshot"), raw.get("endpoints")
+        if not isinstance(index, int) or not isinstance(whole, bool) or not isinstance(lines, list):
+            raise BadList("an object without index, snapshot or endpoints")
+        return index, whole, [self.entry(line) for line in lines]
+
+
+class Discovery:
+    """The exchange's roster. The module says when to watch; a watch that ends is told as a failed list."""
+
+    def __init__(self, exchange: Exchange, side: ServerSide, address: Address, names: Names,
+                 path: str = "/discovery/hosts") -> None:
+        self.exchange, self.side, self.address, self.names, self.path = exchange, side, address, names, path
+        self.index: int | None = None
+        self._conn: Connection | None = None
+        self._turn = self._failures = 0
+
+    def known(self, raw: Any) -> None:
+        """Start from the list of the last run, if it can be read."""
+        lines: list[Listed] = []
+        try:
+            if raw is not None:
+                index, _, lines = self.names.read(raw)
+                self.index = index
+        except BadList as bad:
+            log.warning("known_list_bad", why=str(bad))
+        self.exchange.listed(self.side, ListForm.CACHED, lines)
+
+    def watch(self, on: bool) -> None:
+        self.stop()
+        if on:
+            IOLoop.current().spawn_callback(self._run, self._turn, self._watch)
+
+    def ask(self) -> None:
+        IOLoop.current().spawn_callback(self._run, self._turn, self._ask)
+
+    def stop(self) -> None:
+        self._turn += 1
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    async def _run(self, turn: int, call: Callable[[int], Awaitable[None]]) -> None:
+        why = "it ended"
+        try:
+            if self._failures >= ASK_AFTER and call != self._ask:
+                await asyncio.sleep(min(PAUSE_MOST, PAUSE * self._failures))
+                await self._ask(turn)
+            await call(turn)
+        except (Closed, Late, OSError) as error:
+            why = str(error) or type(error).__name__
+        except (BadMessage, BadList, OverflowError, ValueError) as error:
+            log.warning("discovery_bad_line", why=str(error))
+            why, self.index = "a bad line", None
+        except Exception:
+            log.exception("discovery_broke")
+        else:
+            if call == self._ask:
+                return
+        if turn == self._turn:
+            self._failures += 1
+            log.info("discovery_lost", why=why, failures=self._failures)
+            self.stop()
+            self.exchange.listed(self.side, ListForm.FAILED)
+
+    async def _call(self, query: str) -> Connection:
+        stream = IOStream(socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET),
+                          max_buffer_size=READ_BUFFER, max_write_buffer_size=WRITE_BUFFER)
+        try:
+            await within(CONNECT_TIME, cast(Awaitable[IOStream], stream.connect(self.address)))
+            conn = Connection(stream)
+            await conn.write(f"GET {self.path}{query} HTTP/1.1\r\n"
+                             f"Host: {self.address[0]}:{self.address[1]}\r\n\r\n".encode("latin-1"))
+            return conn
+        except BaseException:
+            stream.close()
+            raise
+
+    async def _ask(self, turn: int) -> None:
+        conn = await self._call("")
+        try:
+            response = await within(ANSWER_TIME, read_response(conn))
+        finally:
+            conn.close()
+        if response.status != 200:
+            raise Late(f"status {response.status}")
+        self._take(response.body, turn)
+
+    async def _watch(self, turn: int) -> None:
+        since = "" if self.index is None else f"&since={self.index}"
+        conn = await self._call("?follow=1" + since)
+        if turn != self._turn:
+            conn.close()
+            return
+        self._conn = conn
+        head = parse_response(await within(ANSWER_TIME, read_head(conn)))
+        if head.status != 200:
+            raise Late(f"status {head.status}")
+        if body_length(head.fields) is not None:
+            raise BadList("a watch that is no chunked answer")
+        left, heard = b"", False
+        while size := await within(SILENCE, chunk_size(conn)):
+            if len(left) + size > LINE:
+                raise BadList("a line too long")
+            left += await within(SILENCE, conn.take(size))
+            await within(SILENCE, chunk_end(conn))
+            *lines, left = left.split(b"\n")
+            for line in lines:
+                if turn != self._turn:
+                    return
+                if line.strip():
+                    self._take(line, turn)
+                elif not heard:  # nothing has changed since: the module must hear that the watch stands
+                    self.exchange.listed(self.side, ListForm.DELTA)
+                heard = True
+                if self._failures:
+                    log.info("discovery_back", failures=self._failures)
+                self._failures = 0
+
+    def _take(self, text: bytes, turn: int) -> None:
+        index, whole, lines = self.names.read(json.loads(text))
+        if turn == self._turn:
+            self.index = index
+            self.exchange.listed(self.side, ListForm.FULL if whole else ListForm.DELTA, lines)
--- /dev/null
+++ b/millethead/net/exchange.py
@@ -0,0 +1,58 @@
+"""Where a request meets the core: the loop's clock, and the wait for a job's one answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from tornado.ioloop import IOLoop
+
+from millethead.exchange.core import Exchange
+from millethead.exchange.model import Answer, Order
+from millethead.net.connection import Connection
+
+
+class _Timer:
+    __slots__ = ("_handle",)
+
+    def __init__(self, handle: object) -> None:
+        self._handle = handle
+
+    def cancel(self) -> None:
+        IOLoop.current().remove_timeout(self._handle)
+
+
+class LoopClock:
+    """Unix time at the start, carried on by the steady clock: the list's start times are Unix times too."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return (time.monotonic() + self._offset) * 1000
+
+    def later(self, delay: float, call: Callable[[], None]) -> _Timer:
+        return _Timer(IOLoop.current().call_later(max(0.0, delay) / 1000, call))
+
+
+async def exchange_job(exchange: Exchange, conn: Connection, order: Order) -> Answer | None:
+    """Hand the job in and wait for its answer; None if the client left first."""
+    future: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
+
+    def settle(answer: Answer | None) -> None:
+        if not future.done():
+            future.set_result(answer)
+
+    number = exchange.arrive(order, settle)
+
+    def left() -> None:
+        if number:
+            exchange.withdraw(number)
+        settle(None)
+
+    conn.on_close(left)
+    try:
+        return await future
+    finally:
+        conn.on_close(None)
--- /dev/null
+++ b/millethead/net/parse.py
@@ -0,0 +1,178 @@
+"""HTTP/1.1 messages: strict on framing, since what two parsers read differently can be used for smuggling."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from millethead.net.connection import Connection
+
+HEAD = 16 << 10
+FIELDS = 100
+BODY = 64 << 10
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_TARGET = re.compile(rb"[\x21-\x7e]+")
+_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+_STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [\t\x20-\x7e\x80-\xff]*)?")
+_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[\t ]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
+
+
+class BadMessage(Exception):
+    """A message that cannot be served; `status` is the answer that it gets before the connection closes."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Request:
+    method: str
+    target: str
+    fields: dict[str, str]
+    body: bytes = b""
+    keep: bool = True
+
+    @property
+    def path(self) -> str:
+        return self.target.partition("?")[0]
+
+
+@dataclass(slots=True)
+class Response:
+    status: int
+    fields: dict[str, str]
+    body: bytes = b""
+    keep: bool = True
+
+
+async def read_head(conn: Connection) -> bytes:
+    """The start line and the fields, up to and with the empty line."""
+    seen = 0
+    while (at := conn.buffer.find(b"\r\n\r\n", max(0, seen - 3))) < 0:
+        seen = len(conn.buffer)
+        if conn.buffer.peek(2) == b"\r\n":  # an empty line before a message is allowed
+            conn.buffer.take(2)
+            seen = 0
+            continue
+        if seen > HEAD:
+            raise BadMessage(431, "the head is too large")
+        await conn.fill()
+    if at > HEAD:
+        raise BadMessage(431, "the head is too large")
+    return conn.buffer.take(at + 4)
+
+
+def parse_fields(lines: list[bytes]) -> dict[str, str]:
+    """Fields by lower-case name. A repeated one is joined by commas, but not one that frames the message."""
+    if len(lines) > FIELDS:
+        raise BadMessage(431, "too many fields")
+    fields: dict[str, str] = {}
+    for line in lines:
+        name, colon, value = line.partition(b":")
+        value = value.strip(b" \t")
+        if not colon or not _TOKEN.fullmatch(name) or not _VALUE.fullmatch(value):
+            raise BadMessage(400, "a malformed field")  # folded lines and bare CR or LF among them
+        key, text = name.decode("ascii").lower(), value.decode("latin-1")
+        if key in fields:
+            if key in ("content-length", "transfer-encoding", "host"):
+                raise BadMessage(400, f"{key} is given twice")
+            text = fields[key] + ", " + text
+        fields[key] = text
+    return fields
+
+
+def parse_request(head: bytes) -> Request:
+    lines = head[:-4].split(b"\r\n")
+    parts = lines[0].split(b" ")
+    if len(parts) != 3 or not _TOKEN.fullmatch(parts[0]) or not _TARGET.fullmatch(parts[1]):
+        raise BadMessage(400, "a malformed request line")
+    if parts[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+        raise BadMessage(400, "not HTTP/1.1")
+    fields = parse_fields(lines[1:])
+    old = parts[2] == b"HTTP/1.0"
+    if old and "transfer-encoding" in fields:
+        raise BadMessage(400, "HTTP/1.0 has no transfer-encoding")
+    if not old and "host" not in fields:
+        raise BadMessage(400, "no host")
+    return Request(parts[0].decode(), parts[1].decode(), fields, keep=_keeps(fields, old))
+
+
+def parse_response(head: bytes) -> Response:
+    lines = head[:-4].split(b"\r\n")
+    match = _STATUS.fullmatch(lines[0])
+    if match is None:
+        raise BadMessage(502, "a malformed status line")
+    fields = parse_fields(lines[1:])
+    return Response(int(match[2]), fields, keep=_keeps(fields, match[1] == b"0"))
+
+
+def _keeps(fields: dict[str, str], old: bool) -> bool:
+    options = {x.strip() for x in fields.get("connection", "").lower().split(",")}
+    return "close" not in options and (not old or "keep-alive" in options)
+
+
+def body_length(fields: dict[str, str]) -> int | None:
+    """The length that the fields tell (0: none); None where the body comes in chunks."""
+    length, coding = fields.get("content-length"), fields.get("transfer-encoding")
+    if coding is not None:
+        if length is not None:
+            raise BadMessage(400, "both content-length and transfer-encoding")
+        if coding.lower() != "chunked":
+            raise BadMessage(400, "a transfer-encoding other than chunked")
+        return None
+    if length is None:
+        return 0
+    if not length.isascii() or not length.isdigit():
+        raise BadMessage(400, "a malformed content-length")
+    if len(length) > 18 or int(length) > BODY:
+        raise BadMessage(413, "the body is too large")
+    return int(length)
+
+
+async def chunk_size(conn: Connection) -> int:
+    line = await conn.line(256)
+    match = _SIZE.fullmatch(line) if line is not None else None
+    if match is None:
+        raise BadMessage(400, "a malformed chunk size")
+    return int(match[1], 16)
+
+
+async def chunk_end(conn: Connection) -> None:
+    if await conn.take(2) != b"\r\n":
+        raise BadMessage(400, "a chunk does not end where it says")
+
+
+async def read_body(conn: Connection, fields: dict[str, str]) -> bytes:
+    length = body_length(fields)
+    if length is not None:
+        return await conn.take(length) if length else b""
+    parts, total = [], 0
+    while size := await chunk_size(conn):
+        total += size
+        if total > BODY:
+            raise BadMessage(413, "the body is too large")
+        parts.append(await conn.take(size))
+        await chunk_end(conn)
+    for _ in range(FIELDS):  # trailers are read and dropped
+        line = await conn.line(1024)
+        if line is None:
+            raise BadMessage(400, "a malformed trailer")
+        if not line:
+            return b"".join(parts)
+        parse_fields([line])
+    raise BadMessage(431, "too many trailers")
+
+
+async def read_response(conn: Connection) -> Response:
+    """A whole response to a request that was no HEAD."""
+    while True:
+        response = parse_response(await read_head(conn))
+        if response.status >= 200:
+            break
+    if response.status not in (204, 304):
+        if "content-length" not in response.fields and "transfer-encoding" not in response.fields:
+            response.keep = False  # such a body ends with the connection, and nothing here needs one
+        else:
+            response.body = await read_body(conn, response.fields)
+    return response
--- /dev/null
+++ b/millethead/net/send.py
@@ -0,0 +1,167 @@
+"""Server side over HTTP/1.1: attempts out to workers, and what their answers say of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import structlog
+from tornado.ioloop import IOLoop
+
+from millethead.decide.interface import Outcome, Report, WorkerState
+from millethead.exchange.core import Exchange
+from millethead.exchange.model import Attempt, Worker
+from millethead.net.connection import Closed, Connection, Late, within
+from millethead.net.parse import BadMessage, Response, read_response
+from millethead.net.pool import ConnectFailed, Pool, PoolFull
+from millethead.net.probes import Probes
+
+log = structlog.get_logger()
+DELETE_TIME = 2.0  # s
+DELETES = 64  # at once; more are dropped, since the worker's own limit ends the job as well
+TAKEN_LATE = 5.0  # s for an answer that no attempt waits for any more
+
+
+class HttpWorkers:
+    """Reaches the workers that discovery lists, and tells the exchange how attempts end. Decides nothing."""
+
+    def __init__(self, exchange: Exchange, pool: Pool, probes: Probes,
+                 report: Callable[[str], Report | None]) -> None:
+        self.exchange, self.pool, self.probes, self.report = exchange, pool, probes, report
+        self._running: dict[tuple[str, str], Attempt] = {}
+        self._deletes = 0
+
+    # ---- what the exchange asks ----------------------------------------------------------------------
+
+    def start(self, attempt: Attempt) -> None:
+        self._running[attempt.order.id, attempt.worker.name] = attempt
+        IOLoop.current().spawn_callback(self._attempt, attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        self._done(attempt)
+        if isinstance(attempt.channel, Connection):  # before the 202, closing says it
+            attempt.channel.close()
+        elif attempt.whole and attempt.worker.address is not None:
+            IOLoop.current().spawn_callback(self._delete, attempt)
+
+    def probe(self, worker: Worker) -> None:
+        IOLoop.current().spawn_callback(self.probes.probe, worker)
+
+    # ---- an attempt ----------------------------------------------------------------------------------
+
+    async def _attempt(self, attempt: Attempt) -> None:
+        try:
+            await self._try(attempt)
+        except Exception:
+            log.exception("attempt_broke", job=attempt.order.id, worker=attempt.worker.name)
+            self._end(attempt, Outcome.RESET if attempt.whole else Outcome.CONNECT_FAILED)
+
+    async def _try(self, attempt: Attempt) -> None:
+        address = attempt.worker.address
+        if address is None:
+            self._end(attempt, Outcome.NEVER_SENT)
+            return
+        try:
+            conn = await self.pool.take(address)
+        except PoolFull:
+            log.error("pool_full", worker=attempt.worker.name)
+            self._end(attempt, Outcome.NEVER_SENT)
+            return
+        except ConnectFailed:
+            self._end(attempt, Outcome.CONNECT_FAILED)
+            return
+        if attempt.outcome is not None or attempt.worker.entry.state is not WorkerState.READY:
+            # it was given up, or the worker began to drain, while the connection came up
+            self.pool.give_back(address, conn)
+            self._end(attempt, Outcome.NEVER_SENT)
+            return
+        attempt.channel = conn
+        try:
+            left = attempt.end - self.exchange.clock.now()
+            await within(left / 1000, conn.write(format_attempt(attempt, left)))
+        except (Closed, Late):
+            conn.close()
+            self._end(attempt, Outcome.CONNECT_FAILED)  # broke before its last byte: never ran
+            return
+        attempt.whole = True
+        try:
+            left = attempt.end - self.exchange.clock.now()
+            response = await within(left / 1000 + TAKEN_LATE, read_response(conn))
+        except (Closed, Late, BadMessage, OverflowError):
+            conn.close()
+            attempt.channel = None
+            self._end(attempt, Outcome.RESET)
+            return
+        attempt.channel = None
+        self.pool.give_back(address, conn, response.keep)
+        self._answered(attempt, response)
+
+    def _answered(self, attempt: Attempt, response: Response) -> None:
+        if response.status == 202:
+            return  # the rest comes as news
+        text = response.fields.get("x-server-load")
+        outcome = Outcome.ERROR
+        if response.status in (503, 504) and response.fields.get("x-not-processed") == "1":
+            outcome = Outcome.FULL
+        elif response.status not in (500, 503, 504):
+            log.warning("worker_answer_odd", worker=attempt.worker.name, status=response.status,
+                        job=attempt.order.id)
+        self._end(attempt, outcome, report=self.report(text) if text else None)
+
+    def _done(self, attempt: Attempt) -> None:
+        name = attempt.order.id, attempt.worker.name
+        if self._running.get(name) is attempt:
+            del self._running[name]
+
+    def _end(self, attempt: Attempt, outcome: Outcome, result: bytes = b"",
+             report: Report | None = None) -> None:
+        self._done(attempt)
+        self.exchange.ended(attempt, outcome, result, report)
+
+    # ---- news ----------------------------------------------------------------------------------------
+
+    def news(self, job_id: str, worker: str, state: str, result: bytes, report: Report | None) -> bool:
+        """What a worker tells of a job; False if no attempt waits for it (any more)."""
+        attempt = self._running.get((job_id, worker))
+        if attempt is None or (not attempt.whole and state == "returned"):
+            return False
+        if state == "done":
+            self._end(attempt, Outcome.OK, result, report)
+        elif state == "failed":
+            self._end(attempt, Outcome.ERROR, report=report)
+        elif state == "lost":
+            self._end(attempt, Outcome.RESET, report=report)
+        elif state == "returned":
+            # where the job was here before, this may be the news of that earlier time once more, and proves
+            # nothing of this one
+            self._end(attempt, Outcome.RESET if attempt.earlier_here else Outcome.FULL, report=report)
+        return True
+
+    async def _delete(self, attempt: Attempt) -> None:
+        address = attempt.worker.address
+        if address is None or self._deletes >= DELETES:
+            return
+        self._deletes += 1
+        try:
+            conn = await self.pool.take(address)
+            try:
+                await within(DELETE_TIME, conn.write(
+                    f"DELETE /jobs/{attempt.order.id} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
+                    "Content-Length: 0\r\n\r\n".encode("latin-1")))
+                response = await within(DELETE_TIME, read_response(conn))
+                self.pool.give_back(address, conn, response.keep)
+            except (Closed, Late, BadMessage, OverflowError):
+                conn.close()
+        except ConnectFailed:
+            log.info("cancel_not_told", job=attempt.order.id, worker=attempt.worker.name)
+        finally:
+            self._deletes -= 1
+
+
+def format_attempt(attempt: Attempt, left: float) -> bytes:
+    order, address = attempt.order, attempt.worker.address or ("", 0)
+    lines = [f"POST {order.target} HTTP/1.1", f"Host: {address[0]}:{address[1]}",
+             f"X-Request-ID: {order.id}", f"X-Timeout: {max(0.001, left / 1000):.3f}",
+             f"Content-Length: {len(order.body)}"]
+    if order.once_key:
+        lines.append(f"Idempotency-Key: {order.once_key}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + order.body
--- /dev/null
+++ b/millethead/program.py
@@ -0,0 +1,77 @@
+"""The dispatcher put together, from its start to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import structlog
+
+from millethead.config import Config, ConfigError
+from millethead.decide.settings import report_field
+from millethead.exchange.core import Exchange
+from millethead.fronts.platform import PlatformFront
+from millethead.net.accept import Acceptor
+from millethead.net.discovery import Discovery, Names
+from millethead.net.exchange import LoopClock
+from millethead.net.pool import Pool
+from millethead.net.probes import Probes, report_reader
+from millethead.net.send import HttpWorkers
+
+log = structlog.get_logger()
+GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
+REPORT_NAMES = ("rif", "inflight", "q", "queue", "busy", "util", "x0", "x1")
+
+
+class Program:
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        permit = config.info.get("permissions") or {}
+        family = config.info.get("family_info") or {}
+        fields = {name: field for name in REPORT_NAMES if (field := report_field(name, family))}
+        report = report_reader(fields)
+        self.exchange = Exchange(config.settings, config.seed, LoopClock())
+        # of the descriptors, a few stay for the loop, the listeners and discovery
+        self.pool = Pool(config.sockets * 3 // 10, config.settings.connect_timeout,
+                         float(permit.get("keepalive") or 60_000.0))
+        self.workers = HttpWorkers(self.exchange, self.pool, Probes(self.exchange, self.pool, report), report)
+        names = Names(config.names("azs"), config.names("kinds"))
+        self.discovery = Discovery(self.exchange, self.workers, config.discovery, names)
+        self.exchange.roster = self.discovery
+        front = PlatformFront(self.exchange, config.names("classes"), config.names("tenants"),
+                              self.workers.news, report)
+        self.acceptor = Acceptor(front.serve, config.sockets * 6 // 10)
+        self._ended = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then until all that is held has its answer."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        host, port = self.config.listen
+        try:
+            self.acceptor.listen(port, host, backlog=512)
+        except OSError as error:
+            raise ConfigError(f"cannot listen on {host}:{port}: {error}") from None
+        self.pool.start()
+        self.discovery.known(self.config.known)
+        log.info("serving", name=self.config.name, listen=f"{host}:{port}")
+        await self._ended.wait()
+        await asyncio.sleep(0.05)  # the last answers are still being written
+        self.acceptor.stop()
+        self.discovery.stop()
+        self.pool.stop()
+        log.info("ended")
+
+    def stop(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+        log.info("stopping", held=self.exchange.held)
+        loop.call_later(GOES_ON, self._drain)
+
+    def _drain(self) -> None:
+        self.acceptor.drain()
+        self.exchange.on_empty = self._ended.set
+        self.exchange.close()
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -5,8 +5,8 @@
 import heapq
 from dataclasses import dataclass, field
 
-from millethead import interface as api
-from millethead.balance import Balancer
+from millethead.decide import interface as api
+from millethead.decide.balance import Balancer
 
 
 @dataclass
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -4,8 +4,8 @@
 
 from harness import Node
 
-from millethead import interface as api
-from millethead.balance import ASK, ENDED, LOAD, NOTE, SENT
+from millethead.decide import interface as api
+from millethead.decide.balance import ASK, ENDED, LOAD, NOTE, SENT
 
 SAFE = api.JobClass(deadline=5000, aim=2000, stretch=2, effect=api.Effect.SAFE)
 
--- a/tests/test_incidents.py
+++ b/tests/test_incidents.py
@@ -4,7 +4,7 @@
 
 from harness import Node, workers
 
-from millethead import interface as api
+from millethead.decide import interface as api
 
 SAFE = api.JobClass(deadline=5000, aim=2000, stretch=2, effect=api.Effect.SAFE)
 
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -3,7 +3,7 @@
 import pytest
 from harness import Node, workers
 
-from millethead import interface as api
+from millethead.decide import interface as api
 
 SAFE = api.JobClass(deadline=5000, aim=300, effect=api.Effect.SAFE)
 
--- a/tests/test_rbfq.py
+++ b/tests/test_rbfq.py
@@ -5,7 +5,7 @@
 import pytest
 from harness import Node, workers
 
-from millethead import interface as api
+from millethead.decide import interface as api
 
 PATIENT = api.JobClass(deadline=1e6, aim=9e5, effect=api.Effect.SAFE)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from millethead import interface as api
+from millethead.decide import interface as api
 
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=120)
 settings.load_profile("fixed")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from millethead import interface as api
-from millethead import wire
+from millethead.adapter import wire
+from millethead.decide import interface as api
+from millethead.decide.settings import settings_from
 
 SETTINGS = {
     "classes": [{"deadline": 5000.0, "goal_time": 200.0, "effect": "retryable", "late_worth": 0.3},
@@ -46,7 +47,7 @@
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    command = [sys.executable, "-m", "millethead.drill"]
+    command = [sys.executable, "-m", "millethead.adapter"]
     return subprocess.run(command, input=data, capture_output=True, timeout=60)
 
 
@@ -120,7 +121,7 @@
 
 
 def test_settings_are_read_and_missing_ones_defaulted():
-    _, made = wire.settings_from(json.dumps(SETTINGS).encode())
+    _, made = settings_from(json.dumps(SETTINGS).encode())
     assert made.nodes == 3 and made.reports_in_answers and not made.may_probe and made.max_attempts == 3
     assert made.classes[0].stretch == 1.5 and made.classes[0].effect is api.Effect.SAFE
     assert made.classes[1].kind == 1 and made.classes[1].group is api.Group.ZONE
