Add the Faktory front, its workers, the operator's file and IPFIX export

Seen: jobs came by HTTP/1.1 alone, and only discovered workers could take them. The module gains three facts that a fetching worker needs: a report may be exact (this node's own FETCHes), a worker may take some classes only, and it may drop no repeats (cell below 0): a refund that may have run there is not sent again. Ruled out: counting fetches as late reports, since a FETCH is seen by this node alone and the share that others take of a gap must not be taken off it.

--- a/millethead/cli.py
+++ b/millethead/cli.py
@@ -1,17 +1,18 @@
 """millethead: a dispatcher that pushes jobs to workers.
 
 Usage:
-  millethead serve [--log-level=LEVEL]
-  millethead check
+  millethead serve [--operator=FILE] [--log-level=LEVEL]
+  millethead check [--operator=FILE]
   millethead version
   millethead (-h | --help)
 
 Commands:
   serve    Serve until SIGTERM. BALANCER_CONFIG names the configuration file.
-  check    Read the configuration, say whether it can be used, and exit.
+  check    Read the configuration and the operator's file, say whether they can be used, and exit.
   version  Print the version.
 
 Options:
+  --operator=FILE    Sets up the Faktory front and the flow export; MILLETHEAD_OPERATOR names it as well.
   --log-level=LEVEL  debug, info, warning or error [default: info].
   -h --help          Show this text.
 """
@@ -19,13 +20,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 
 from docopt import docopt
 
 from millethead import __version__
-from millethead.config import ConfigError, load_config
+from millethead.config import Config, ConfigError, load_config
 from millethead.logs import LEVELS, set_up
+from millethead.operators import Operator, load_operator
+from millethead.program import Program
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -37,20 +41,18 @@
         if args["--log-level"] not in LEVELS:
             raise ConfigError(f"--log-level: one of {', '.join(LEVELS)}, not {args['--log-level']!r}")
         config = load_config()
+        path = args["--operator"] or os.environ.get("MILLETHEAD_OPERATOR")
+        operator = load_operator(path, config.names("classes"), config.names("azs")) if path else Operator()
         if args["check"]:
             print(f"{config.name}: the configuration can be used")
             return 0
-        set_up(args["--log-level"])
-        asyncio.run(_serve(config))
+        set_up(args["--log-level"], config.name)
+        asyncio.run(_serve(config, operator))
     except ConfigError as error:
         print(f"millethead: {error}", file=sys.stderr)
         return 2
     return 0
 
 
-async def _serve(config: object) -> None:
-    from millethead.config import Config
-    from millethead.program import Program
-
-    assert isinstance(config, Config)
-    await Program(config).run()
+async def _serve(config: Config, operator: Operator) -> None:
+    await Program(config, operator).run()
--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -25,6 +25,7 @@
 HOMES = 3  # workers that keep what a rarely asked key needs
 KEY_MEMORY = 4000  # jobs after which half the count of each key is forgotten
 CELLS = 65536  # repeat groups below are zones, from here on cells
+ALONE = CELLS - 1  # the group of a job that may have run at a worker that drops no repeats: nobody is in it
 SCAN = 24  # workers looked at for one release; the fleet is never ranked
 PROBES = 3  # probes in one wave
 NOTE = Struct("<BIB")  # what nodes tell each other: one of the four below, a worker, a number of slots
@@ -38,11 +39,11 @@
 
     __slots__ = ("id", "zone", "kind", "cell", "salt", "open", "started", "free", "queued", "memory", "stamp",
                  "heard", "raw", "luck", "sent", "ended", "held", "slow", "bad", "avoid", "turn", "probing",
-                 "asked", "shy", "full", "fulls")
+                 "asked", "shy", "full", "fulls", "takes", "exact")
 
     def __init__(self, entry: api.WorkerEntry) -> None:
         self.id, self.zone, self.kind, self.cell = entry.worker, entry.zone, entry.kind, entry.cell
-        self.salt = _mix(entry.worker)
+        self.salt, self.takes, self.exact = _mix(entry.worker), entry.takes, False
         self.reset(entry.started)
 
     def reset(self, started: float) -> None:
@@ -334,7 +335,7 @@
             return False  # it waited on until its group may have forgotten the key
         if job.memory and w.memory < job.memory + sum(m for at, _, m in w.sent if at >= w.stamp):
             return False  # it would hold up the worker's queue until it fits
-        return (w.open and (kind is None or kind == w.kind)
+        return (w.open and (kind is None or kind == w.kind) and (w.takes is None or job.cls in w.takes)
                 and (group < 0 or group == (w.zone if group < CELLS else w.cell + CELLS)))
 
     def _send(self, job: _Job, w: _Worker, out: list[api.Action]) -> None:
@@ -407,6 +408,8 @@
     def _draw(self, among: list[_Worker], job: _Job, stale: list[_Worker]) -> _Worker | None:
         rooms, total, probes = [], 0.0, self.asks
         for w in among:
+            if w.takes is not None and job.cls not in w.takes:
+                continue
             if probes and self._old(w):
                 # asked whatever the estimate says: else a node keeps to the slots that it once found, see
                 # docs/incidents/burton-1.md
@@ -442,6 +445,8 @@
                 own += freed
         if now < w.shy:
             return own  # it was full a moment ago: only slots that came back since are sure
+        if w.exact:
+            return w.free + own
         room = int(w.free * self.trust + w.luck) + own
         if self._old(w) and (self.asks or not w.held):
             # unasked, it counts as one slot only when the queue it last reported can have drained: many nodes
@@ -477,6 +482,7 @@
         if size > self.size.get(w.kind, 1.0):
             self.size[w.kind] = size
         w.memory = inf if report.free_memory is None else report.free_memory
+        w.exact = report.exact
         if not self.counted:
             self._heard(w)
 
@@ -484,8 +490,8 @@
         """Take over what was just heard of the free slots."""
         now, w.heard = self.now, self.now
         self.busy[w.zone] = self.busy.get(w.zone, 0.0) + 0.05 * ((w.free < 1) - self.busy.get(w.zone, 0.0))
-        w.stamp = now - 0.85 * self.period
-        w.ended = [x for x in w.ended if x[0] >= w.stamp]
+        w.stamp = now if w.exact else now - 0.85 * self.period
+        w.ended = [] if w.exact else [x for x in w.ended if x[0] >= w.stamp]
         w.luck = self.rng.random() if self.trust < 0.99 else 0.25
         if w.stamp > w.full:
             w.shy = -inf
@@ -598,7 +604,8 @@
                 self.work += 0.03 * (min(elapsed * job.slots, 5 * self.work) - self.work)
         elif outcome is Outcome.FULL:
             # other nodes filled the gap: trust reported gaps less, try this worker again ever later
-            self.trust = max(0.5 / self.set.nodes, self.trust * 0.9)
+            if not w.exact:
+                self.trust = max(0.5 / self.set.nodes, self.trust * 0.9)
             w.fulls += 1
             w.free, w.stamp, w.full, w.ended = 0.0, now, now, []
             w.shy = now + self.work / self.slots * 2.0 ** min(w.fulls - 2, 3) * (0.5 + self.rng.random())
@@ -612,13 +619,15 @@
         cls = self.set.classes[job.cls]
         if outcome not in NEVER_RAN and sent < job.ran:
             job.ran = sent
-            if cls.effect is Effect.KEYED and cls.group is not Group.ALL:
+            if cls.effect is Effect.KEYED and w.cell < 0:
+                job.group = ALONE
+            elif cls.effect is Effect.KEYED and cls.group is not Group.ALL:
                 job.group = w.zone if cls.group is Group.ZONE else w.cell + CELLS
                 job.shape = (*job.shape[:3], job.group)
         if job.out or job.waiting:
             return
         may = job.ran == inf or cls.effect is Effect.SAFE or (
-            cls.effect is Effect.KEYED and self.now < job.ran + cls.window)
+            cls.effect is Effect.KEYED and self.now < job.ran + cls.window and job.group != ALONE)
         if may and job.tries < self.set.max_attempts and self.now < job.end - 3 * self.set.tick:
             self._wait(job)  # with its old tags
         else:
@@ -628,7 +637,7 @@
         """The final answer of a job that was not served: a refusal if harmless, else a failure."""
         cls = self.set.classes[job.cls]
         clean = job.ran == inf and not job.out
-        keyed = cls.effect is Effect.KEYED and cls.group is Group.ALL
+        keyed = cls.effect is Effect.KEYED and cls.group is Group.ALL and job.group != ALONE
         harmless = clean or keyed or cls.effect is Effect.SAFE
         self._finish(job, out)
         out.append(api.Refuse(job.id) if harmless else api.Fail(job.id))
@@ -710,6 +719,8 @@
         pool = self._homes(job) if self._homely(job) else self._pool(kind, group, -1)
         start = self.rng.randrange(len(pool)) if pool else 0
         for w in (pool[start:] + pool[:start])[:SCAN]:
-            if not w.held and self.now > max(w.avoid, w.shy) and self._fits(job, w) and self._turn_ok(w, job):
+            if w.held or w.exact or self.now <= max(w.avoid, w.shy):
+                continue
+            if self._fits(job, w) and self._turn_ok(w, job):
                 self._release(w, out, float(job.slots))
                 break
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -153,13 +153,15 @@
 
 @dataclass(slots=True)
 class Report:
-    """A worker's load as it said it; None where the worker does not say."""
+    """A worker's load as it said it; None where the worker does not say. `exact`: the free slots are this
+    node's own and known at this moment, not a late and shared figure."""
 
     free_slots: float | None = None
     free_memory: float | None = None
     held: float | None = None
     queued: float | None = None
     busy: float | None = None
+    exact: bool = False
 
 
 # ---- events: what a node is told -----------------------------------------------------------------
@@ -167,7 +169,8 @@
 
 @dataclass(slots=True, frozen=True)
 class WorkerEntry:
-    """One line of the worker list. `started` is the clock time of the last start, 0 for long ago."""
+    """One line of the worker list. `started` is the clock time of the last start, 0 for long ago; `cell` is
+    below 0 where the worker drops no repeats; `takes` names the job classes that it takes, if not all."""
 
     worker: int
     zone: int = 0
@@ -176,6 +179,7 @@
     state: WorkerState = WorkerState.READY
     rating: float = 1.0
     started: float = 0.0
+    takes: frozenset[int] | None = None
 
 
 @dataclass(slots=True)
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -29,8 +29,8 @@
     Worker,
 )
 
-KEPT = 8192  # outcomes remembered
-KEPT_FOR = 120_000.0  # ms that an outcome is remembered
+KEPT = 32768  # outcomes remembered
+KEPT_FOR = 600_000.0  # ms that an outcome is remembered
 HELD = 4096  # jobs held at once; the sockets bound them further
 BODIES = 48 << 20  # bytes of all bodies held
 OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
@@ -43,9 +43,10 @@
     """A job's outcome, kept for a bounded time."""
 
     at: float
-    answer: Answer | None = None
+    final: Final | None = None
     may_have_run: bool = False
     came: float = 0.0
+    attempts: int = 0
 
 
 @dataclass(slots=True)
@@ -66,7 +67,7 @@
     def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
         self.settings, self.clock = settings, clock
         self.roster: Roster | None = None
-        self.finished: Callable[[Order, Answer, float, float], None] | None = None
+        self.finished: Callable[[Order, Answer | None, float, float], None] | None = None
         self.on_empty: Callable[[], None] | None = None
         self.closing = False
         self._module = Balancer(settings, seed)
@@ -257,6 +258,7 @@
                           any(a.worker.name == worker.name for a in held.attempts))
         held.attempts.append(attempt)
         held.out += 1
+        held.record.attempts += 1
         effect = self.settings.classes[held.order.job_class].effect
         again = held.record.may_have_run or held.out > 1
         if held.closed or end <= now or attempt.number >= self.settings.max_attempts or isinstance(
@@ -290,7 +292,7 @@
         name = held.order.origin, held.order.id
         del self._held_ids[name]
         now = self.clock.now()
-        held.record.at, held.record.answer = now, answer
+        held.record.at, held.record.final = now, answer.final if answer is not None else None
         held.record.may_have_run |= held.out > 0
         self._records[name] = held.record
         self._records.move_to_end(name)
@@ -303,8 +305,8 @@
                          after_ms=round(now - held.came))
             if held.reply is not None:
                 held.reply(answer)
-            if self.finished is not None:
-                self.finished(held.order, answer, held.came, now)
+        if self.finished is not None:
+            self.finished(held.order, answer, held.came, now)
         held.reply = None
         self._empty()
 
--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -29,7 +29,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Order:
-    """One job as a client handed it in. `target` and `body` are the job's content; the core reads neither."""
+    """One job as a client handed it in. The core does not read its content: `target`, `body`, and how its
+    client names its type and queue."""
 
     id: str
     job_class: int
@@ -43,6 +44,9 @@
     memory: float = 0.0
     expected_work: float | None = None
     repeat: bool = False
+    jobtype: str = ""
+    queue: str = ""
+    reserve: float = float("inf")  # ms that one worker may hold it
     origin: str = ""
     peer: tuple[str, int] | None = None
 
@@ -59,6 +63,7 @@
     state: WorkerState = WorkerState.READY
     rating: float = 1.0
     started: float = 0.0
+    takes: frozenset[int] | None = None
 
 
 class Worker:
@@ -74,7 +79,7 @@
         self.address = listed.address
         self.open = listed.state is WorkerState.READY
         self.entry = WorkerEntry(self.number, listed.zone, listed.kind, listed.cell, listed.state,
-                                 listed.rating, listed.started)
+                                 listed.rating, listed.started, listed.takes)
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/millethead/fronts/faktory/__init__.py
@@ -0,0 +1,1 @@
+"""The Faktory work protocol: jobs pushed by clients, and workers that fetch them."""
--- /dev/null
+++ b/millethead/fronts/faktory/jobs.py
@@ -0,0 +1,102 @@
+"""Faktory jobs to orders and back."""
+
+from __future__ import annotations
+
+import base64
+import json
+import re
+import time
+from datetime import datetime
+from typing import Any
+
+from millethead.exchange.model import Attempt, Order
+from millethead.fronts.faktory.resp import BadCommand
+from millethead.net.parse import BODY
+from millethead.operators import FaktorySetup
+
+ORIGIN = "faktory"
+RESERVE = 1800.0  # s, the protocol's default
+TARGET = "/api"
+_JID = re.compile(r"[0-9A-Za-z_-]{8,64}")
+
+
+def read_jid(job: dict[str, Any]) -> str:
+    jid = job.get("jid")
+    if not isinstance(jid, str) or not _JID.fullmatch(jid):
+        raise BadCommand("jid: 8 to 64 letters, digits, '-' or '_' are wanted")
+    return jid
+
+
+class Jobs:
+    def __init__(self, setup: FaktorySetup, classes: list[str], tenants: list[str],
+                 deadlines: list[float]) -> None:
+        self.setup, self.class_names, self.deadlines = setup, classes, deadlines
+        self.classes = {name: n for n, name in enumerate(classes)}
+        self.tenants, self.tenant_names = {name: n for n, name in enumerate(tenants)}, tenants
+
+    def order(self, job: dict[str, Any], peer: tuple[str, int] | None) -> Order:
+        """The order that a pushed job means. Its `retry` is not read: resends follow the class alone."""
+        jid, jobtype, args = read_jid(job), job.get("jobtype"), job.get("args")
+        queue, custom = job.get("queue", "default"), job.get("custom") or {}
+        if not isinstance(jobtype, str) or not jobtype or not isinstance(args, list):
+            raise BadCommand("a jobtype and args are wanted")
+        if not isinstance(queue, str) or not isinstance(custom, dict):
+            raise BadCommand("a queue or custom of the wrong kind")
+        name = self.setup.jobtypes.get(jobtype) or self.setup.queues.get(queue)
+        if name is None:
+            raise BadCommand("no class for this jobtype or queue")
+        tenant = self.tenants.get(str(custom.get("tenant")), 0 if not self.tenants else None)
+        if tenant is None:
+            raise BadCommand("custom.tenant: unknown")
+        if job.get("at") and _unix(job["at"]) > time.time():
+            raise BadCommand("jobs for a later time are not taken")
+        number = self.classes[name]
+        timeout = _seconds(custom.get("timeout"), self.deadlines[number] / 1000, "custom.timeout")
+        body = json.dumps(args, separators=(",", ":")).encode()
+        if len(body) > BODY:
+            raise BadCommand("args are over 64 KiB")
+        key = custom.get("key", jid)
+        if not isinstance(key, str) or not re.fullmatch(r"[!-~]{1,128}", key):
+            raise BadCommand("custom.key: 1 to 128 printable characters are wanted")
+        return Order(jid, number, min(timeout * 1000, self.deadlines[number]), tenant, TARGET, body, key,
+                     jobtype=jobtype, queue=queue, origin=ORIGIN, peer=peer,
+                     reserve=1000 * _seconds(job.get("reserve_for"), RESERVE, "reserve_for"))
+
+    def fetched(self, attempt: Attempt, now: float) -> dict[str, Any]:
+        """The job as a worker gets it, whichever front it came by."""
+        order, left = attempt.order, max(0.001, (attempt.end - now) / 1000)
+        name = self.class_names[order.job_class]
+        custom: dict[str, Any] = {"timeout": round(left, 3), "class": name}
+        if self.tenant_names:
+            custom["tenant"] = self.tenant_names[order.tenant]
+        if order.once_key:
+            custom["key"] = order.once_key
+        if order.origin == ORIGIN:
+            args = json.loads(order.body)
+        else:
+            try:
+                args = [order.body.decode()]
+            except UnicodeDecodeError:
+                args, custom["encoding"] = [base64.b64encode(order.body).decode()], "base64"
+            custom["target"] = order.target
+        return {"jid": order.id, "jobtype": order.jobtype or name, "queue": order.queue or name, "args": args,
+                "reserve_for": max(1, int(min(left, order.reserve / 1000))), "retry": 0, "custom": custom}
+
+    def taken(self, queues: list[str]) -> frozenset[int]:
+        """The classes that a worker takes which fetches from these queues."""
+        return frozenset(self.classes[self.setup.queues[q]] for q in queues if q in self.setup.queues)
+
+
+def _seconds(raw: Any, default: float, what: str) -> float:
+    if raw is None:
+        return default
+    if isinstance(raw, bool) or not isinstance(raw, int | float) or not 0 < raw < 1e9:
+        raise BadCommand(f"{what}: seconds above 0 are wanted")
+    return float(raw)
+
+
+def _unix(raw: Any) -> float:
+    try:
+        return datetime.fromisoformat(str(raw)).timestamp()
+    except (ValueError, OverflowError):
+        raise BadCommand("at: a time is wanted") from None
--- /dev/null
+++ b/millethead/fronts/faktory/session.py
@@ -0,0 +1,259 @@
+"""Client side over Faktory: a connection's greeting and its commands."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import secrets
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from typing import Any
+
+import structlog
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
+
+from millethead import __version__
+from millethead.decide.interface import Outcome
+from millethead.exchange.core import Exchange, Record
+from millethead.exchange.model import Final
+from millethead.fronts.faktory import resp
+from millethead.fronts.faktory.jobs import ORIGIN, Jobs, read_jid
+from millethead.fronts.faktory.workers import FaktoryWorkers, Process
+from millethead.net.accept import READ_TIME
+from millethead.net.answer import WRITE_TIME
+from millethead.net.connection import WRITE_BUFFER, Closed, Connection, Late, within
+from millethead.net.pool import READ_BUFFER
+
+log = structlog.get_logger()
+ROUNDS = 4096  # of the password's hash
+FETCH_TIME = 2.0  # s that a FETCH waits, as the protocol has it
+IDLE_TIME = 900.0  # s: clients keep their connections in pools
+BULK = 1000  # jobs in one PUSHB
+
+
+def password_hash(password: str, salt: str, rounds: int) -> str:
+    digest = (password + salt).encode()
+    for _ in range(rounds):
+        digest = hashlib.sha256(digest).digest()
+    return digest.hex()
+
+
+class FaktoryServer(TCPServer):
+    def __init__(self, exchange: Exchange, jobs: Jobs, workers: FaktoryWorkers, limit: int) -> None:
+        super().__init__(max_buffer_size=READ_BUFFER)
+        self.exchange, self.jobs, self.workers, self.limit = exchange, jobs, workers, limit
+        self._open: set[Connection] = set()
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        stream.max_write_buffer_size = WRITE_BUFFER
+        try:
+            conn = Connection(stream)
+        except OSError:  # the peer is gone already
+            stream.close()
+            return
+        if len(self._open) >= self.limit:
+            log.warning("faktory_connection_turned_away", open=len(self._open))
+            conn.close()
+            return
+        self._open.add(conn)
+        session = Session(self, conn)
+        try:
+            await session.run()
+        except (Closed, Late, OSError):
+            pass
+        except Exception:
+            log.exception("faktory_session_broke")
+        finally:
+            self._open.discard(conn)
+            session.over()
+            conn.close()
+
+    def close_all(self) -> None:
+        for conn in list(self._open):
+            conn.close()
+
+
+class Session:
+    def __init__(self, server: FaktoryServer, conn: Connection) -> None:
+        self.server, self.conn = server, conn
+        self.exchange, self.jobs, self.workers = server.exchange, server.jobs, server.workers
+        self.process: Process | None = None
+        self.commands: dict[str, Callable[[str], Awaitable[bytes]]] = {
+            "PUSH": self.push, "PUSHB": self.push_bulk, "FETCH": self.fetch, "ACK": self.ack,
+            "FAIL": self.fail, "BEAT": self.beat, "INFO": self.info, "TRACK": self.track}
+
+    async def run(self) -> None:
+        if not await self.greet():
+            return
+        while True:
+            line = await self.read(IDLE_TIME)
+            if line is None:
+                await self.write(resp.error("a line that is too long or does not end in CR LF"))
+                return
+            try:
+                verb, rest = resp.split_command(line)
+                if verb == "END":
+                    await self.write(resp.simple("OK"))
+                    return
+                command = self.commands.get(verb)
+                if command is None:
+                    raise resp.BadCommand("unknown command")
+                reply = await command(rest)
+            except resp.BadCommand as bad:
+                reply = resp.error(str(bad))
+            if reply:
+                await self.write(reply)
+
+    def over(self) -> None:
+        """The connection ended. What its client pushed goes on: a disconnect withdraws nothing."""
+        if self.process is not None:
+            self.workers.left(self.process)
+            self.process = None
+
+    async def read(self, idle: float) -> bytes | None:
+        if not len(self.conn.buffer):
+            await within(idle, self.conn.fill())
+        try:
+            return await within(READ_TIME, self.conn.line(resp.LINE))
+        except OverflowError:
+            return None
+
+    async def write(self, data: bytes) -> None:
+        await within(WRITE_TIME, self.conn.write(data))
+
+    # ---- the greeting --------------------------------------------------------------------------------
+
+    async def greet(self) -> bool:
+        password = self.jobs.setup.password
+        salt = secrets.token_hex(8)
+        hi: dict[str, Any] = {"v": 2}
+        if password:
+            hi |= {"s": salt, "i": ROUNDS}
+        await self.write(b"+HI " + resp.bulk(hi).split(b"\r\n")[1] + b"\r\n")
+        line = await self.read(READ_TIME)
+        try:
+            verb, rest = resp.split_command(line or b"")
+            if verb != "HELLO":
+                raise resp.BadCommand("HELLO is wanted first")
+            hello = resp.read_object(rest)
+            if hello.get("v") != 2:
+                raise resp.BadCommand("only version 2 of the protocol is spoken")
+            if password and not hmac.compare_digest(str(hello.get("pwdhash", "")).encode(),
+                                                    password_hash(password, salt, ROUNDS).encode()):
+                log.warning("faktory_login_failed", peer=self.conn.peer)
+                raise resp.BadCommand("invalid password")
+            wid = hello.get("wid")
+            if wid is not None and (not isinstance(wid, str) or len(wid) > 64 or not wid.isprintable()):
+                raise resp.BadCommand("wid: 64 printable characters at most are wanted")
+        except resp.BadCommand as bad:
+            await self.write(resp.error(str(bad)))
+            return False
+        if wid:
+            self.process = self.workers.joined(wid)
+        await self.write(resp.simple("OK"))
+        return True
+
+    # ---- clients -------------------------------------------------------------------------------------
+
+    def accept(self, job: Any) -> None:
+        """Take one job in; raises BadCommand if it is not accepted. A jid seen before is the same job."""
+        if not isinstance(job, dict):
+            raise resp.BadCommand("an object is wanted")
+        if self.exchange.record(ORIGIN, read_jid(job)) is not None:
+            return
+        if not self.exchange.arrive(self.jobs.order(job, self.conn.peer), lambda answer: None):
+            raise resp.BadCommand("not accepted now: too much is held, or this dispatcher is stopping")
+
+    async def push(self, rest: str) -> bytes:
+        self.accept(resp.read_object(rest))
+        return resp.simple("OK")
+
+    async def push_bulk(self, rest: str) -> bytes:
+        jobs = resp.read_json(rest)
+        if not isinstance(jobs, list) or len(jobs) > BULK:
+            raise resp.BadCommand(f"a list of {BULK} jobs at most is wanted")
+        failed: dict[str, str] = {}
+        for n, job in enumerate(jobs):
+            try:
+                self.accept(job)
+            except resp.BadCommand as bad:
+                jid = job.get("jid") if isinstance(job, dict) else None
+                failed[jid if isinstance(jid, str) else f"#{n}"] = str(bad)
+        return resp.bulk(failed)
+
+    async def track(self, rest: str) -> bytes:
+        verb, _, jid = rest.partition(" ")
+        if verb.upper() != "GET":
+            raise resp.BadCommand("only TRACK GET is known")
+        return resp.bulk(tracked(jid.strip(), self.exchange.record(ORIGIN, jid.strip())))
+
+    async def info(self, rest: str) -> bytes:
+        return resp.bulk({"server": {"description": "millethead", "faktory_version": __version__,
+                                     "connections": len(self.server._open)},
+                          "faktory": {"tasks": {}, "queues": {}, "held": self.exchange.held}})
+
+    # ---- workers -------------------------------------------------------------------------------------
+
+    def worker(self) -> Process:
+        if self.process is None:
+            raise resp.BadCommand("only a worker may do this: no wid in HELLO")
+        return self.process
+
+    async def fetch(self, rest: str) -> bytes:
+        process = self.worker()
+        waiting = self.workers.fetch(process, self.conn, rest.split() or ["default"])
+        if waiting is None:
+            await asyncio.sleep(FETCH_TIME)  # a worker that drains asks on, but must not spin
+            return resp.bulk(None)
+
+        def gone() -> None:
+            if not waiting.job.done():
+                waiting.job.set_result(b"")
+
+        self.conn.on_close(gone)
+        try:
+            done, _ = await asyncio.wait([waiting.job], timeout=FETCH_TIME)
+            if not done:
+                waiting.job.set_result(resp.bulk(None))
+            return waiting.job.result() or b""
+        finally:
+            self.conn.on_close(None)
+            self.workers.fetch_over(process, waiting)
+
+    async def ack(self, rest: str) -> bytes:
+        process, body = self.worker(), resp.read_object(rest)
+        result = body.get("result", "")
+        self.workers.ended(process, read_jid(body), Outcome.OK,
+                           result.encode("utf-8", "replace") if isinstance(result, str) else b"")
+        return resp.simple("OK")
+
+    async def fail(self, rest: str) -> bytes:
+        process, body = self.worker(), resp.read_object(rest)
+        self.workers.ended(process, read_jid(body), Outcome.ERROR)
+        return resp.simple("OK")
+
+    async def beat(self, rest: str) -> bytes:
+        process, body = self.worker(), resp.read_object(rest)
+        if body.get("wid", process.wid) != process.wid:
+            raise resp.BadCommand("a BEAT for another wid")
+        state = body.get("current_state", "")
+        if state not in ("", "quiet", "terminate", None):
+            raise resp.BadCommand("current_state: quiet or terminate is wanted")
+        self.workers.beat(process, state or "")
+        return resp.bulk({"state": "quiet"}) if self.exchange.closing else resp.simple("OK")
+
+
+def tracked(jid: str, record: Record | None) -> dict[str, Any]:
+    """A job's outcome in the protocol's words; what was refused is told apart by `desc`."""
+    if record is None:
+        return {"jid": jid, "state": "unknown", "updated_at": ""}
+    state = "working" if record.attempts else "enqueued"
+    if record.final is not None:
+        state = "success" if record.final is Final.SERVED else "failed"
+    when = datetime.fromtimestamp(record.at / 1000, UTC).isoformat()
+    return {"jid": jid, "state": state, "desc": record.final.value if record.final else "",
+            "updated_at": when}
+
+
--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -72,7 +72,7 @@
             job_id, job_class, min(left * 1000, limit), tenant, request.target, request.body,
             fields.get("idempotency-key", ""), route_key(cookie[1]) if cookie else 0,
             attrs["slots"] or 1.0, attrs["memory"], None if cost is None else cost / 1000,
-            fields.get("x-retried") == "1", "http", conn.peer)
+            fields.get("x-retried") == "1", origin="http", peer=conn.peer)
 
 
 def reply_for(answer: Answer) -> Reply:
--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -72,7 +72,11 @@
 
     async def write(self, data: bytes) -> None:
         """Write all; raises Closed if the connection breaks before the last byte is written."""
-        await self.stream.write(data)
+        await self.begin(data)
+
+    def begin(self, data: bytes) -> Awaitable[None]:
+        """Like `write`, but the bytes have their place in the order of writes at once."""
+        return self.stream.write(data)
 
     def on_close(self, call: Callable[[], None] | None) -> None:
         self.stream.set_close_callback(call)
--- a/millethead/net/probes.py
+++ b/millethead/net/probes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import structlog
 
@@ -22,7 +23,7 @@
     """Reads `inflight=7,x0=1.5` into a Report; `fields` gives the Report's field for a name."""
 
     def read(text: str) -> Report | None:
-        values: dict[str, float] = {}
+        values: dict[str, Any] = {}
         for pair in text.strip().strip("{}").replace('"', "").replace(":", "=").split(","):
             name, _, value = pair.partition("=")
             field = fields.get(name.strip())
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -6,10 +6,15 @@
 import signal
 
 import structlog
+from tornado.tcpserver import TCPServer
 
 from millethead.config import Config, ConfigError
 from millethead.decide.settings import report_field
 from millethead.exchange.core import Exchange
+from millethead.flows.ipfix import Exporter
+from millethead.fronts.faktory.jobs import Jobs
+from millethead.fronts.faktory.session import FaktoryServer
+from millethead.fronts.faktory.workers import FaktoryWorkers
 from millethead.fronts.platform import PlatformFront
 from millethead.net.accept import Acceptor
 from millethead.net.discovery import Discovery, Names
@@ -17,6 +22,7 @@
 from millethead.net.pool import Pool
 from millethead.net.probes import Probes, report_reader
 from millethead.net.send import HttpWorkers
+from millethead.operators import Operator
 
 log = structlog.get_logger()
 GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
@@ -24,14 +30,13 @@
 
 
 class Program:
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, operator: Operator | None = None) -> None:
+        self.config, self.operator = config, operator or Operator()
         permit = config.info.get("permissions") or {}
         family = config.info.get("family_info") or {}
         fields = {name: field for name in REPORT_NAMES if (field := report_field(name, family))}
         report = report_reader(fields)
         self.exchange = Exchange(config.settings, config.seed, LoopClock())
-        # of the descriptors, a few stay for the loop, the listeners and discovery
         self.pool = Pool(config.sockets * 3 // 10, config.settings.connect_timeout,
                          float(permit.get("keepalive") or 60_000.0))
         self.workers = HttpWorkers(self.exchange, self.pool, Probes(self.exchange, self.pool, report), report)
@@ -40,7 +45,24 @@
         self.exchange.roster = self.discovery
         front = PlatformFront(self.exchange, config.names("classes"), config.names("tenants"),
                               self.workers.news, report)
-        self.acceptor = Acceptor(front.serve, config.sockets * 6 // 10)
+        setup = self.operator.faktory
+        self.faktory: FaktoryServer | None = None
+        # of the descriptors, a few stay for the loop, the listeners and discovery
+        room = config.sockets * 6 // 10
+        if setup is not None:
+            taken = min(setup.connections, room // 2)
+            room -= taken
+            jobs = Jobs(setup, config.names("classes"), config.names("tenants"),
+                        [c.deadline for c in config.settings.classes])
+            fetchers = FaktoryWorkers(self.exchange, jobs, names.zones.get(setup.zone, 0),
+                                      names.kinds.get(setup.kind, len(names.kinds)))
+            self.faktory = FaktoryServer(self.exchange, jobs, fetchers, taken)
+        self.acceptor = Acceptor(front.serve, room)
+        self.flows: Exporter | None = None
+        if self.operator.flows is not None:
+            self.flows = Exporter(self.operator.flows, config.listen, setup.listen if setup else None,
+                                  config.names("classes"))
+            self.exchange.finished = self.flows.finished
         self._ended = asyncio.Event()
 
     async def run(self) -> None:
@@ -48,17 +70,22 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
-        host, port = self.config.listen
-        try:
-            self.acceptor.listen(port, host, backlog=512)
-        except OSError as error:
-            raise ConfigError(f"cannot listen on {host}:{port}: {error}") from None
+        _listen(self.acceptor, self.config.listen)
+        if self.faktory is not None and self.operator.faktory is not None:
+            _listen(self.faktory, self.operator.faktory.listen)
         self.pool.start()
+        if self.flows is not None:
+            self.flows.start()
         self.discovery.known(self.config.known)
-        log.info("serving", name=self.config.name, listen=f"{host}:{port}")
+        log.info("serving", name=self.config.name)
         await self._ended.wait()
         await asyncio.sleep(0.05)  # the last answers are still being written
         self.acceptor.stop()
+        if self.faktory is not None:
+            self.faktory.stop()
+            self.faktory.close_all()
+        if self.flows is not None:
+            self.flows.stop()
         self.discovery.stop()
         self.pool.stop()
         log.info("ended")
@@ -75,3 +102,12 @@
         self.acceptor.drain()
         self.exchange.on_empty = self._ended.set
         self.exchange.close()
+
+
+def _listen(server: TCPServer, address: tuple[str, int]) -> None:
+    host, port = address
+    try:
+        server.listen(port, host, backlog=512)
+    except OSError as error:
+        raise ConfigError(f"cannot listen on {host}:{port}: {error}") from None
+    log.info("listening", address=f"{host}:{port}", server=type(server).__name__)
