Play recorded byte exchanges against the program, both fronts

Found on the way: a short custom.timeout made a Faktory job look like a late repeat, so it was refused as soon as anything waited (balance.py, job.late); the front now marks it fresh.

--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -236,7 +236,7 @@
         flow = self.flows[e.tenant if e.tenant < len(self.flows) else 0]
         self.seq += 1
         job = self.jobs[e.job] = _Job(e, flow, self.seq, now)
-        job.late = job.end - cls.deadline + cls.aim + PATIENCE * (cls.stretch - 1) * self.took[job.cls]
+        job.late = (now if e.fresh else job.end - cls.deadline) + cls.aim + PATIENCE * (cls.stretch - 1) * self.took[job.cls]
         self.slots += 0.01 * (job.slots - self.slots)
         if now > job.late and self.waiting:
             # a repeat that cannot be in time any more must not take a slot from one that can
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -191,7 +191,8 @@
 
 @dataclass(slots=True)
 class JobArrived:
-    """A job that the node must give exactly one final answer within `left`."""
+    """A job that the node must give exactly one final answer within `left`. `fresh`: a `left` below the
+    deadline of its class is the client's wish, and not what earlier tries of it have used up."""
 
     job: int
     job_class: int
@@ -202,6 +203,7 @@
     key: int = 0
     expected_work: float | None = None
     repeat: bool = False
+    fresh: bool = False
 
 
 @dataclass(slots=True)
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -120,7 +120,8 @@
         self._bodies += len(order.body)
         held.timer = self.clock.later(order.left + OVERDUE, lambda: self._overdue(held))
         self._feed(api.JobArrived(number, order.job_class, order.left, order.slots, order.memory,
-                                  order.tenant, order.route_key, order.expected_work, order.repeat))
+                                  order.tenant, order.route_key, order.expected_work, order.repeat,
+                                  order.fresh))
         return number
 
     def withdraw(self, number: int) -> None:
--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -44,6 +44,7 @@
     memory: float = 0.0
     expected_work: float | None = None
     repeat: bool = False
+    fresh: bool = False
     jobtype: str = ""
     queue: str = ""
     reserve: float = float("inf")  # ms that one worker may hold it
--- a/millethead/fronts/faktory/jobs.py
+++ b/millethead/fronts/faktory/jobs.py
@@ -59,7 +59,7 @@
         if not isinstance(key, str) or not re.fullmatch(r"[!-~]{1,128}", key):
             raise BadCommand("custom.key: 1 to 128 printable characters are wanted")
         return Order(jid, number, min(timeout * 1000, self.deadlines[number]), tenant, TARGET, body, key,
-                     jobtype=jobtype, queue=queue, origin=ORIGIN, peer=peer,
+                     fresh=True, jobtype=jobtype, queue=queue, origin=ORIGIN, peer=peer,
                      reserve=1000 * _seconds(job.get("reserve_for"), RESERVE, "reserve_for"))
 
     def fetched(self, attempt: Attempt, now: float) -> dict[str, Any]:
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import threading
 
 import structlog
 from tornado.tcpserver import TCPServer
@@ -63,13 +64,14 @@
             self.flows = Exporter(self.operator.flows, config.listen, setup.listen if setup else None,
                                   config.names("classes"))
             self.exchange.finished = self.flows.finished
+        self.serving = asyncio.Event()
         self._ended = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then until all that is held has its answer."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
+        if threading.current_thread() is threading.main_thread():
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, self.stop)
         _listen(self.acceptor, self.config.listen)
         if self.faktory is not None and self.operator.faktory is not None:
             _listen(self.faktory, self.operator.faktory.listen)
@@ -78,6 +80,7 @@
             self.flows.start()
         self.discovery.known(self.config.known)
         log.info("serving", name=self.config.name)
+        self.serving.set()
         await self._ended.wait()
         await asyncio.sleep(0.05)  # the last answers are still being written
         self.acceptor.stop()
@@ -98,6 +101,10 @@
         log.info("stopping", held=self.exchange.held)
         loop.call_later(GOES_ON, self._drain)
 
+    def finish(self) -> None:
+        """End at once, whatever is held."""
+        self._ended.set()
+
     def _drain(self) -> None:
         self.acceptor.drain()
         self.exchange.on_empty = self._ended.set
--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,201 @@
+"""Plays recorded byte exchanges against the program, on loopback addresses and free ports.
+
+A recording is a text file of lines `PARTY > TEXT` (the party sends) and `PARTY < TEXT` (it must receive just
+that). Escapes: \\r \\n \\\\ and \\xHH; {n} is the length of the body, {z*N} the letter z N times. In what is
+received, <*> stands for anything up to the text after it.
+Parties: client* and faktory* connect to the two fronts; workerN.C is connection C that worker N accepts,
+discovery.C one that discovery accepts. `PARTY < END` means that the program closed; `PARTY > END` closes;
+`PARTY < OPEN` that a connection came. Worker 1 and 2 are on the known list. {hN} is worker N's address.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import socket
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from millethead.config import load_config
+from millethead.operators import load_operator
+from millethead.program import Program
+
+PATIENCE = 20.0  # s; only a failing test waits so long
+CLASSES: list[dict[str, Any]] = [
+    {"name": "desk-search", "deadline": 7500.0, "goal_time": 300.0, "effect": "retryable", "worth": 2.0},
+    {"name": "paid-booking", "deadline": 15000.0, "goal_time": 600.0, "effect": "fragile", "worth": 10.0},
+    {"name": "refund", "deadline": 15000.0, "goal_time": 400.0, "effect": "dedup", "dedup_scope": "cell",
+     "window": 25000.0, "worth": 8.0}]
+SETTINGS: dict[str, Any] = {
+    "azs": ["tbilisi", "kutaisi"], "kinds": ["newer-box", "older-box"], "classes": CLASSES,
+    "tenants": [{"name": "rustaveli-desks", "quota_rps": 8.0}, {"name": "rioni-hub", "quota_rps": 3.0}],
+    "family_info": {"class_stretch": [2.0, 2.0, 1.75], "report_x0": "free slots", "tells_start": False},
+    "membership_mode": "subscribe", "report": {"columns": ["lat_ms", "rif", "x0"], "how": "probe"},
+    "permissions": {"cancel": True, "connect_timeout": 250.0, "keepalive": 60000.0, "parallel_tries": True,
+                    "probes": True, "try_limit": 5},
+    "rules": {"ask_every": 10000.0, "cold": 8000.0, "cold_from": 0.32, "drain_grace": 750.0, "fall": 1500.0,
+              "fall_multiple": 3.0, "grace_to_answer": 20.0},
+    "prices": {"cross_zone": 0.041, "probe": 0.0024}, "tick": 5.0, "zone": 0, "balancers": 1}
+OPERATOR = """
+[faktory]
+listen = "127.0.0.1:0"
+[faktory.classes.paid-booking]
+jobtypes = ["ChargeMember"]
+queues = ["payments"]
+[faktory.classes.refund]
+jobtypes = ["GiveBack"]
+[faktory.classes.desk-search]
+queues = ["default"]
+"""
+PASSWORD = OPERATOR.replace('listen', 'password_file = "password"\nlisten')
+
+
+def endpoint(number: int, port: int, **more: Any) -> dict[str, Any]:
+    return {"name": f"s-{number:08x}", "address": f"127.0.0.1:{port}", "zone": "tbilisi", "type": "newer-box",
+            "group": number, "status": "in_service", "weight": 1.0, "since_ms": 0, **more}
+
+
+class Peers:
+    """A listener whose connections wait, in order, until somebody wants them."""
+
+    def __init__(self) -> None:
+        self.came: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Queue()
+        self.port = 0
+
+    async def open(self) -> Peers:
+        self._server = await asyncio.start_server(self._take, "127.0.0.1", 0, limit=1 << 20)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self.came.put((reader, writer))
+
+    def close(self) -> None:
+        self._server.close()
+
+
+class Stage:
+    """The program and everybody around it, for one test."""
+
+    def __init__(self, operator: str = "", settings: dict[str, Any] | None = None, workers: int = 2) -> None:
+        self.operator, self.settings, self.count = operator, settings or SETTINGS, workers
+
+    async def __aenter__(self) -> Stage:
+        self.folder = tempfile.TemporaryDirectory()
+        base = Path(self.folder.name)
+        self.workers = [await Peers().open() for _ in range(self.count)]
+        self.discovery = await Peers().open()
+        known = {"index": 41, "snapshot": True,
+                 "endpoints": [endpoint(n + 1, w.port) for n, w in enumerate(self.workers)]}
+        (base / "config.json").write_text(json.dumps({
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}", "seed": "1",
+            "limits": {"sockets": 256}, "known": known, "settings": self.settings}))
+        (base / "operator.toml").write_text(self.operator)
+        (base / "password").write_text("tea\n")
+        config = load_config({"BALANCER_CONFIG": str(base / "config.json")})
+        operator = load_operator(str(base / "operator.toml"), config.names("classes"), config.names("azs"))
+        self.program = Program(config, operator)
+        self.task = asyncio.create_task(self.program.run())
+        while not self.program.serving.is_set():
+            await asyncio.sleep(0)
+            if self.task.done():
+                self.task.result()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.program.finish()
+        await asyncio.wait_for(self.task, PATIENCE)
+        for peers in (*self.workers, self.discovery):
+            peers.close()
+        self.folder.cleanup()
+
+    def port(self, party: str) -> int:
+        server = self.program.faktory if party.startswith("faktory") else self.program.acceptor
+        assert server is not None
+        found: socket.socket = next(iter(server._sockets.values()))
+        return int(found.getsockname()[1])
+
+
+def plain(text: str) -> str:
+    """The bytes that a line of a recording means, one character for each."""
+    return re.sub(r"\\(x[0-9a-f]{2}|.)", lambda m: {"r": "\r", "n": "\n", "\\": "\\"}.get(m[1])
+                  or chr(int(m[1][1:], 16)), text)
+
+
+class Player:
+    def __init__(self, stage: Stage) -> None:
+        self.stage = stage
+        self.links: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
+        self.here = ""
+
+    async def link(self, party: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if party not in self.links:
+            name, _, _ = party.partition(".")
+            if name.startswith("worker"):
+                self.links[party] = await self.stage.workers[int(name[6:]) - 1].came.get()
+            elif name == "discovery":
+                self.links[party] = await self.stage.discovery.came.get()
+            else:
+                self.links[party] = await asyncio.open_connection("127.0.0.1", self.stage.port(party))
+        return self.links[party]
+
+    async def play(self, path: Path) -> None:
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if not line.strip() or line.startswith("#"):
+                continue
+            self.here = f"{path.name}:{number}"
+            match = re.fullmatch(r"(\S+) ([<>]) ?(.*)", line)
+            assert match, f"{self.here}: not a line of a recording"
+            try:
+                await asyncio.wait_for(self.step(*match.groups()), PATIENCE)
+            except TimeoutError:
+                raise AssertionError(f"{self.here}: nothing more came for {line!r}") from None
+
+    async def step(self, party: str, way: str, text: str) -> None:
+        for n, worker in enumerate(self.stage.workers, 1):
+            text = text.replace("{h%d}" % n, f"127.0.0.1:{worker.port}")
+        text = re.sub(r"\{z\*(\d+)\}", lambda m: "z" * int(m[1]), text)
+        if "{n}" in text:
+            text = text.replace("{n}", str(len(plain(text).partition("\r\n\r\n")[2])))
+        reader, writer = await self.link(party)
+        if text == "OPEN":
+            return
+        if way == ">":
+            if text == "END":
+                writer.close()
+            elif text == "RESET":
+                writer.transport.abort()
+            else:
+                writer.write(plain(text).encode("latin-1"))
+                await writer.drain()
+        elif text == "END":
+            try:
+                rest = await reader.read()
+            except ConnectionError:
+                rest = b""
+            assert rest == b"", f"{self.here}: {rest!r} came before the end"
+        else:
+            await self.receive(reader, text)
+
+    async def receive(self, reader: asyncio.StreamReader, text: str) -> None:
+        parts = [plain(part).encode("latin-1") for part in text.split("<*>")]
+        got = b""
+        for n, part in enumerate(parts):
+            at = len(got)
+            while not (got[at:] == part if n == 0 else got.endswith(part) and len(got) - at >= len(part)):
+                assert n or part.startswith(got[at:]), f"{self.here}: {got!r} came"
+                byte = await reader.read(1)
+                assert byte, f"{self.here}: the connection ended after {got!r}"
+                got += byte
+
+
+async def play(path: Path, operator: str = "") -> None:
+    async with Stage(operator) as stage:
+        player = Player(stage)
+        try:
+            await player.play(path)
+        finally:
+            for _, writer in player.links.values():
+                writer.close()
