--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -3,6 +3,7 @@
 Jobs wait in one flow per tenant and leave by RBFQ (RePAIR, 3.1 and 3.3): the smallest due local tag, else the
 smallest global tag. A released job goes to a random fitting worker, weighted by estimated free slots.
 docs/design.md says what was kept of the paper, what was changed and why; docs/on-call.md what to look for.
+Names in brackets, as (burton-1), are incidents: tests/test_incidents.py has a test for each.
 """
 
 from __future__ import annotations
@@ -236,7 +237,8 @@
         flow = self.flows[e.tenant if e.tenant < len(self.flows) else 0]
         self.seq += 1
         job = self.jobs[e.job] = _Job(e, flow, self.seq, now)
-        job.late = (now if e.fresh else job.end - cls.deadline) + cls.aim + PATIENCE * (cls.stretch - 1) * self.took[job.cls]
+        first = now if e.fresh else job.end - cls.deadline  # when its client began to wait
+        job.late = first + cls.aim + PATIENCE * (cls.stretch - 1) * self.took[job.cls]
         self.slots += 0.01 * (job.slots - self.slots)
         if now > job.late and self.waiting:
             # a repeat that cannot be in time any more must not take a slot from one that can
@@ -355,8 +357,8 @@
 
     def _homely(self, job: _Job) -> bool:
         """Whether the job waits for a worker that keeps what its key needs, for as long as it can be in time:
-        a fetch elsewhere holds slots for longer than the wait saves, and drives out what other jobs need, see
-        docs/incidents/almaty-2.md. A repeat bound to a group goes where it may."""
+        a fetch elsewhere holds slots for longer than the wait saves, and drives out what other jobs need
+        (almaty-2). A repeat bound to a group goes where it may."""
         return bool(job.key and self.set.price_fetch) and job.shape[3] < 0
 
     def _homes(self, job: _Job) -> list[_Worker]:
@@ -411,8 +413,7 @@
             if w.takes is not None and job.cls not in w.takes:
                 continue
             if probes and self._old(w):
-                # asked whatever the estimate says: else a node keeps to the slots that it once found, see
-                # docs/incidents/burton-1.md
+                # asked whatever the estimate says: else a node keeps to the slots it once found (burton-1)
                 if self.now > max(w.avoid, w.shy) and not w.probing and self.now - w.asked > self._stays():
                     stale.append(w)
             elif (room := self._room(w)) >= job.slots and self._turn_ok(w, job):
@@ -714,7 +715,7 @@
 
     def _knock(self, job: _Job, out: list[api.Action]) -> None:
         """Queue one job at a worker that shows no free slot. Nodes use a slot that comes back again at once,
-        so one that starts late in a full fleet would never see any free, see docs/incidents/burton-3.md."""
+        so one that starts late in a full fleet would never see any free (burton-3)."""
         kind, group = self.set.classes[job.cls].kind, job.shape[3]
         pool = self._homes(job) if self._homely(job) else self._pool(kind, group, -1)
         start = self.rng.randrange(len(pool)) if pool else 0
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -7,6 +7,7 @@
 import threading
 
 import structlog
+from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from millethead.config import Config, ConfigError
@@ -64,6 +65,7 @@
             self.flows = Exporter(self.operator.flows, config.listen, setup.listen if setup else None,
                                   config.names("classes"))
             self.exchange.finished = self.flows.finished
+        self.goes_on = GOES_ON
         self.serving = asyncio.Event()
         self._ended = asyncio.Event()
 
@@ -95,17 +97,19 @@
 
     def stop(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.remove_signal_handler(number)
-            signal.signal(number, signal.SIG_IGN)
+        if threading.current_thread() is threading.main_thread():
+            for number in (signal.SIGTERM, signal.SIGINT):
+                loop.remove_signal_handler(number)
+                signal.signal(number, signal.SIG_IGN)
         log.info("stopping", held=self.exchange.held)
-        loop.call_later(GOES_ON, self._drain)
+        loop.call_later(self.goes_on, self.drain)
 
     def finish(self) -> None:
         """End at once, whatever is held."""
         self._ended.set()
 
-    def _drain(self) -> None:
+    def drain(self) -> None:
+        """Take nothing more; end when all that is held has its answer."""
         self.acceptor.drain()
         self.exchange.on_empty = self._ended.set
         self.exchange.close()
@@ -114,7 +118,8 @@
 def _listen(server: TCPServer, address: tuple[str, int]) -> None:
     host, port = address
     try:
-        server.listen(port, host, backlog=512)
+        sockets = bind_sockets(port, host, backlog=512)
     except OSError as error:
         raise ConfigError(f"cannot listen on {host}:{port}: {error}") from None
-    log.info("listening", address=f"{host}:{port}", server=type(server).__name__)
+    server.add_sockets(sockets)
+    log.info("listening", address=f"{host}:{sockets[0].getsockname()[1]}", server=type(server).__name__)
--- a/tests/play.py
+++ b/tests/play.py
@@ -90,7 +90,8 @@
         known = {"index": 41, "snapshot": True,
                  "endpoints": [endpoint(n + 1, w.port) for n, w in enumerate(self.workers)]}
         (base / "config.json").write_text(json.dumps({
-            "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}", "seed": "1",
+            "name": "n1", "seed": "1", "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{self.discovery.port}",
             "limits": {"sockets": 256}, "known": known, "settings": self.settings}))
         (base / "operator.toml").write_text(self.operator)
         (base / "password").write_text("tea\n")
@@ -155,7 +156,7 @@
 
     async def step(self, party: str, way: str, text: str) -> None:
         for n, worker in enumerate(self.stage.workers, 1):
-            text = text.replace("{h%d}" % n, f"127.0.0.1:{worker.port}")
+            text = text.replace(f"{{h{n}}}", f"127.0.0.1:{worker.port}")
         text = re.sub(r"\{z\*(\d+)\}", lambda m: "z" * int(m[1]), text)
         if "{n}" in text:
             text = text.replace("{n}", str(len(plain(text).partition("\r\n\r\n")[2])))
--- a/tests/test_incidents.py
+++ b/tests/test_incidents.py
@@ -1,4 +1,4 @@
-"""One small test for each failure that an incident or a score brought to light (docs/incidents/)."""
+"""One small test for each failure that an incident or a score brought to light."""
 
 from itertools import pairwise
 
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,211 @@
+"""The program as its operators meet it: configuration, operator's file, commands, signals."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from contextlib import suppress
+from pathlib import Path
+
+from play import PATIENCE, SETTINGS, Peers, Stage, endpoint
+
+from millethead.config import ConfigError
+from millethead.decide.interface import WorkerState
+from millethead.exchange import Listed, Worker
+from millethead.net.buffer import MOST, Buffer
+from millethead.net.discovery import BadList, Names
+from millethead.net.pool import Pool
+from millethead.operators import load_operator
+
+ROOT = Path(__file__).parent.parent
+CONFIG = {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+          "limits": {"sockets": 256}, "known": None, "settings": SETTINGS}
+
+
+class Commands(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def run_it(self, *args, config=CONFIG, operator=None):
+        (self.folder / "config.json").write_text(config if isinstance(config, str) else json.dumps(config))
+        env = {**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json")}
+        if operator is not None:
+            (self.folder / "operator.toml").write_text(operator)
+            args = (*args, f"--operator={self.folder / 'operator.toml'}")
+        return subprocess.run([sys.executable, "-m", "millethead", *args], capture_output=True, text=True,
+                              env=env, cwd=ROOT, timeout=60)
+
+    def test_version_and_check(self):
+        self.assertRegex(self.run_it("version").stdout, r"^millethead \d+\.\d+\.\d+\n$")
+        done = self.run_it("check")
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+
+    def test_a_bad_configuration_ends_it_with_one_clear_line(self):
+        for config, says in (("{", "config.json"), ({**CONFIG, "settings": {}}, "settings lack 'classes'"),
+                             ({**CONFIG, "listen": "nowhere"}, "listen: not an address"),
+                             ({**CONFIG, "seed": "zz"}, "zz"), ("[]", "not a JSON object")):
+            with self.subTest(says):
+                done = self.run_it("serve", config=config)
+                self.assertEqual(done.returncode, 2)
+                self.assertEqual(done.stderr.count("\n"), 1)
+                self.assertIn(says, done.stderr)
+
+    def test_a_bad_operators_file_ends_it_with_one_clear_line(self):
+        good = '[faktory]\nlisten = "127.0.0.1:0"\n'
+        for text, says in (("[faktory", "operator.toml"), ("[fakory]", "unknown key 'fakory'"),
+                           ('[faktory]\nlisten = "0.0.0.0:7419"', "a loopback address is wanted"),
+                           ('[ipfix]\ncollector = "192.0.2.1:4739"', "a loopback address is wanted"),
+                           (good + "connections = 0", "faktory.connections"),
+                           (good + 'password_file = "none"', "faktory.password_file"),
+                           (good + "[faktory.classes.nothing]", "unknown key 'nothing'"),
+                           (good + '[faktory.classes.refund]\nqueues = ["desk-search"]', "belongs to")):
+            with self.subTest(says):
+                done = self.run_it("serve", operator=text)
+                self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1))
+                self.assertIn(says, done.stderr)
+
+    def test_the_examples_under_deploy_can_be_used(self):
+        classes = ["desk-search", "usage-report", "paid-booking", "refund"]
+        for path in (ROOT / "deploy").glob("operator*.toml"):
+            made = load_operator(str(path), classes, ["tbilisi", "kutaisi"])
+            self.assertIsNotNone(made.faktory or made.flows)
+        with self.assertRaises(ConfigError):
+            load_operator(str(ROOT / "deploy" / "none.toml"), classes, [])
+
+
+class Signals(unittest.IsolatedAsyncioTestCase):
+    async def test_sigterm_ends_an_idle_program_with_0(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(CONFIG))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "millethead", "serve", cwd=ROOT, stdout=subprocess.PIPE,
+                env={**os.environ, "BALANCER_CONFIG": str(path)})
+            while b"event=serving" not in (line := await process.stdout.readline()):
+                self.assertTrue(line, "the program ended before it served")
+            process.send_signal(signal.SIGTERM)
+            said = await asyncio.wait_for(process.stdout.read(), PATIENCE)
+            self.assertIn(b"event=stopping", said)
+            self.assertIn(b"event=ended", said)
+            self.assertEqual(await process.wait(), 0)
+
+    async def test_stopping_takes_what_still_arrives_and_answers_what_is_held(self):
+        async with Stage(workers=1) as stage:
+            taken = asyncio.Queue()
+            task = asyncio.create_task(self.work(stage.workers[0], taken))
+            self.addCleanup(task.cancel)
+            await asyncio.wait_for(self.play(stage.program, stage.port("client"), taken), PATIENCE)
+            await asyncio.wait_for(stage.task, PATIENCE)
+
+    async def work(self, worker, taken):
+        """A worker that takes every job and says nothing more of it."""
+        while True:
+            reader, writer = await worker.came.get()
+            with suppress(asyncio.IncompleteReadError):
+                while head := await reader.readuntil(b"\r\n\r\n"):
+                    if head.startswith(b"GET"):
+                        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=2")
+                    else:
+                        await taken.put(head.partition(b"X-Request-ID: ")[2].split(b"\r")[0])
+                        writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+
+    async def play(self, program, port, taken):
+        job = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: a{}\r\nX-Priority-Class: desk-search\r\n"
+               "X-Tenant-Id: rioni-hub\r\nX-Timeout: 7.5\r\nContent-Length: 0\r\n\r\n")
+        first = await asyncio.open_connection("127.0.0.1", port)
+        idle = await asyncio.open_connection("127.0.0.1", port)
+        first[1].write(job.format(1).encode())
+        self.assertEqual(await taken.get(), b"a1")
+        self.addCleanup(signal.signal, signal.SIGINT, signal.getsignal(signal.SIGINT))
+        self.addCleanup(signal.signal, signal.SIGTERM, signal.getsignal(signal.SIGTERM))
+        program.goes_on = 3600.0  # the moment ends where this test says
+        program.stop()
+        second = await asyncio.open_connection("127.0.0.1", port)
+        second[1].write(job.format(2).encode())  # taken as before
+        self.assertEqual(await taken.get(), b"a2")
+        program.drain()
+        self.assertEqual(await idle[0].read(), b"")  # what stands idle is closed
+        third = await asyncio.open_connection("127.0.0.1", port)
+        third[1].write(job.format(3).encode())
+        self.assertIn(b" 503 ", await third[0].read())
+        up = await asyncio.open_connection("127.0.0.1", port)
+        up[1].write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b" 503 ", await up[0].read())
+        for number, (client, _) in ((1, first), (2, second)):
+            tell = await asyncio.open_connection("127.0.0.1", port)
+            body = json.dumps({"id": f"a{number}", "from": "s-00000001", "state": "done", "result": "ok"})
+            tell[1].write(f"POST /_jobs/news HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+                          .encode())
+            self.assertIn(b" 200 ", await tell[0].read())
+            answer = await client.read()
+            self.assertIn(b" 200 ", answer)
+            self.assertIn(b"Connection: close", answer)
+
+
+class Parts(unittest.IsolatedAsyncioTestCase):
+    def test_a_buffer_compacts_in_place_grows_and_is_bounded(self):
+        buffer, sent = Buffer(), b""
+        for n in range(3000):
+            piece = bytes([n % 251]) * 7
+            room = buffer.room()
+            room[:7] = piece
+            buffer.filled(7)
+            sent += piece
+            if n % 3 == 2:
+                self.assertEqual(buffer.take(20), sent[:20])
+                sent = sent[20:]
+        self.assertEqual((buffer.take(len(sent)), len(buffer)), (sent, 0))
+        with self.assertRaises(OverflowError):
+            for _ in range(100):
+                buffer.filled(len(buffer.room()))
+        self.assertEqual(len(buffer), MOST)
+
+    async def test_a_connection_near_its_idle_limit_is_not_used_again(self):
+        """A request that crosses the peer's close counts as one that may have run."""
+        peers = await Peers().open()
+        address = ("127.0.0.1", peers.port)
+        pool = Pool(8, 1000.0, 60_000.0)
+        self.assertLess(pool.idle_s, 59.0)
+        conn = await pool.take(address)
+        pool.give_back(address, conn)
+        self.assertIs(await pool.take(address), conn)
+        pool.give_back(address, conn)
+        conn.idle_since = time.monotonic() - pool.idle_s
+        other = await pool.take(address)
+        self.assertIsNot(other, conn)
+        self.assertTrue(conn.stream.closed())
+        # nor is one that the peer has closed
+        pool.give_back(address, other)
+        await peers.came.get()
+        (await peers.came.get())[1].transport.abort()
+        while other.quiet():
+            await asyncio.sleep(0)
+        self.assertIsNot(await pool.take(address), other)
+        pool.stop()
+        peers.close()
+
+    def test_entries_of_the_list(self):
+        names = Names(["a", "b"], ["m1"])
+        good = endpoint(1, 80, zone="b", type="m1", status="terminating", since_ms=1700000000000)
+        entry = names.entry(good)
+        self.assertEqual((entry.zone, entry.kind, entry.state, entry.started),
+                         (1, 0, WorkerState.DRAINING, 1700000000000.0))
+        for bad in ({"status": "asleep"}, {"address": "x"}, {"address": "h:99999"}, {"group": "1"},
+                    {"since_ms": -1}, {"weight": float("nan")}, {"name": ""}):
+            with self.subTest(bad), self.assertRaises(BadList):
+                names.entry({**good, **bad})
+
+    async def test_a_start_time_of_the_list_is_a_time_of_the_modules_clock(self):
+        """since_ms is Unix time: on another clock a cold worker would look warm, or cold for ever."""
+        async with Stage() as stage:
+            now = stage.program.exchange.clock.now()
+            self.assertLess(abs(now - time.time() * 1000), 60_000)
+            side = stage.program.workers
+            self.assertEqual(Worker(1, Listed("w", started=now - 1000), side).entry.started, now - 1000)
