Share one server loop between the fronts, answer HEAD without a body, test the slow paths

Seen: duplicates showed the accept loop written twice (accept.py, session.py); a HEAD was answered with a body, which would break the framing of the next answer; two fronts' ids could collide in HttpWorkers._running, and the first attempt would have lost its news. Ruled out: keeping the second attempt of a colliding id, since its news could not be told apart.

--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -32,7 +32,7 @@
 KEPT = 32768  # outcomes remembered
 KEPT_FOR = 600_000.0  # ms that an outcome is remembered
 HELD = 4096  # jobs held at once; the sockets bound them further
-BODIES = 48 << 20  # bytes of all bodies held
+BODIES = 32 << 20  # bytes of all bodies held
 OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
 
 log = structlog.get_logger()
--- a/millethead/fronts/faktory/session.py
+++ b/millethead/fronts/faktory/session.py
@@ -11,8 +11,6 @@
 from typing import Any
 
 import structlog
-from tornado.iostream import IOStream
-from tornado.tcpserver import TCPServer
 
 from millethead import __version__
 from millethead.decide.interface import Outcome
@@ -21,10 +19,9 @@
 from millethead.fronts.faktory import resp
 from millethead.fronts.faktory.jobs import ORIGIN, Jobs, read_jid
 from millethead.fronts.faktory.workers import FaktoryWorkers, Process
-from millethead.net.accept import READ_TIME
+from millethead.net.accept import READ_TIME, Server
 from millethead.net.answer import WRITE_TIME
-from millethead.net.connection import WRITE_BUFFER, Closed, Connection, Late, within
-from millethead.net.pool import READ_BUFFER
+from millethead.net.connection import Connection, within
 
 log = structlog.get_logger()
 ROUNDS = 4096  # of the password's hash
@@ -40,39 +37,17 @@
     return digest.hex()
 
 
-class FaktoryServer(TCPServer):
+class FaktoryServer(Server):
     def __init__(self, exchange: Exchange, jobs: Jobs, workers: FaktoryWorkers, limit: int) -> None:
-        super().__init__(max_buffer_size=READ_BUFFER)
-        self.exchange, self.jobs, self.workers, self.limit = exchange, jobs, workers, limit
-        self._open: set[Connection] = set()
+        super().__init__(limit)
+        self.exchange, self.jobs, self.workers = exchange, jobs, workers
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        stream.max_write_buffer_size = WRITE_BUFFER
-        try:
-            conn = Connection(stream)
-        except OSError:  # the peer is gone already
-            stream.close()
-            return
-        if len(self._open) >= self.limit:
-            log.warning("faktory_connection_turned_away", open=len(self._open))
-            conn.close()
-            return
-        self._open.add(conn)
+    async def talk(self, conn: Connection) -> None:
         session = Session(self, conn)
         try:
             await session.run()
-        except (Closed, Late, OSError):
-            pass
-        except Exception:
-            log.exception("faktory_session_broke")
         finally:
-            self._open.discard(conn)
             session.over()
-            conn.close()
-
-    def close_all(self) -> None:
-        for conn in list(self._open):
-            conn.close()
 
 
 class Session:
@@ -191,7 +166,7 @@
 
     async def info(self, rest: str) -> bytes:
         return resp.bulk({"server": {"description": "millethead", "faktory_version": __version__,
-                                     "connections": len(self.server._open)},
+                                     "connections": len(self.server.open)},
                           "faktory": {"tasks": {}, "queues": {}, "held": self.exchange.held}})
 
     # ---- workers -------------------------------------------------------------------------------------
--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -33,12 +33,13 @@
 Front = Callable[[Connection, Request], Awaitable[Reply | None]]
 
 
-class Acceptor(TCPServer):
-    def __init__(self, front: Front, limit: int) -> None:
+class Server(TCPServer):
+    """Takes connections up to a limit, and ends each when `talk` returns."""
+
+    def __init__(self, limit: int) -> None:
         super().__init__(max_buffer_size=READ_BUFFER)
-        self.front, self.limit, self.closing = front, limit, False
-        self._idle: dict[Connection, float] = {}
-        self._open: set[Connection] = set()
+        self.limit = limit
+        self.open: set[Connection] = set()
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         stream.max_write_buffer_size = WRITE_BUFFER
@@ -47,22 +48,43 @@
         except OSError:  # the peer is gone already
             stream.close()
             return
-        if len(self._open) >= self.limit and not self._evict():
-            log.warning("connection_turned_away", open=len(self._open))
+        if len(self.open) >= self.limit and not self.make_room():
+            log.warning("connection_turned_away", server=type(self).__name__, open=len(self.open))
             conn.close()
             return
-        self._open.add(conn)
+        self.open.add(conn)
         try:
-            while await self._serve(conn):
-                pass
+            await self.talk(conn)
         except (Closed, Late, OSError):
             pass
         except Exception:
-            log.exception("request_broke")
+            log.exception("connection_broke", server=type(self).__name__)
         finally:
-            self._open.discard(conn)
+            self.open.discard(conn)
+            conn.close()
+
+    async def talk(self, conn: Connection) -> None:
+        raise NotImplementedError
+
+    def make_room(self) -> bool:
+        """Close a connection that nobody will miss; False if there is none."""
+        return False
+
+    def close_all(self) -> None:
+        for conn in list(self.open):
             conn.close()
 
+
+class Acceptor(Server):
+    def __init__(self, front: Front, limit: int) -> None:
+        super().__init__(limit)
+        self.front, self.closing = front, False
+        self._idle: dict[Connection, float] = {}
+
+    async def talk(self, conn: Connection) -> None:
+        while await self._serve(conn):
+            pass
+
     async def _serve(self, conn: Connection) -> bool:
         """One request; False when the connection is done with."""
         if not len(conn.buffer):
@@ -86,7 +108,10 @@
         if reply is None:
             return False
         keep = request.keep and reply.keep and not self.closing
-        await send_answer(conn, reply.status, reply.body, reply.fields, keep)
+        message = format_answer(reply.status, reply.body, reply.fields, keep)
+        if request.method == "HEAD":  # its answer has no body, whatever length it tells
+            message = message[:len(message) - len(reply.body)]
+        await send_answer(conn, message)
         return keep
 
     async def _read(self, conn: Connection) -> Request:
@@ -112,7 +137,7 @@
         except (Closed, Late, OSError):
             pass
 
-    def _evict(self) -> bool:
+    def make_room(self) -> bool:
         """Close the connection that has stood idle longest: between requests that harms nobody."""
         if not self._idle:
             return False
--- a/millethead/net/answer.py
+++ b/millethead/net/answer.py
@@ -1,4 +1,4 @@
-"""Answers: to bytes, and out within a time limit."""
+"""Answers: to bytes, and out to the peer within a time limit."""
 
 from __future__ import annotations
 
@@ -22,6 +22,5 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
-async def send_answer(conn: Connection, status: int, body: bytes = b"",
-                      fields: dict[str, str] | None = None, keep: bool = True) -> None:
-    await within(WRITE_TIME, conn.write(format_answer(status, body, fields, keep)))
+async def send_answer(conn: Connection, message: bytes) -> None:
+    await within(WRITE_TIME, conn.write(message))
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -33,7 +33,12 @@
     # ---- what the exchange asks ----------------------------------------------------------------------
 
     def start(self, attempt: Attempt) -> None:
-        self._running[attempt.order.id, attempt.worker.name] = attempt
+        name = attempt.order.id, attempt.worker.name
+        if name in self._running:
+            # the two fronts' ids can be alike, and a worker's news could not be told apart
+            self.exchange.ended(attempt, Outcome.NEVER_SENT)
+            return
+        self._running[name] = attempt
         IOLoop.current().spawn_callback(self._attempt, attempt)
 
     def give_up(self, attempt: Attempt) -> None:
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,20 @@
+"""What the pages for people say must be what the program does."""
+
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+class OnCall(unittest.TestCase):
+    def test_every_log_line_is_explained_and_no_other(self):
+        page = (ROOT / "docs" / "on-call.md").read_text()
+        code = "".join(path.read_text() for path in (ROOT / "millethead").rglob("*.py"))
+        said = set(re.findall(r'log(?:ger\(\))?\.(?:info|warning|error|exception)\("([a-z_]+)"[,)]', code))
+        said |= {"job_refused", "job_failed", "library_says"}  # put together at run time
+        self.assertGreater(len(said), 30)
+        words = set(re.findall(r"`([a-z_]+)`", page))
+        self.assertEqual(said - words, set())
+        outcomes = {"connect_failed", "never_sent"}
+        self.assertEqual({word for word in words if "_" in word} - said - outcomes, set())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,6 +11,7 @@
 import unittest
 from contextlib import suppress
 from pathlib import Path
+from unittest import mock
 
 from play import PATIENCE, SETTINGS, Peers, Stage, endpoint
 
@@ -202,6 +203,14 @@
             with self.subTest(bad), self.assertRaises(BadList):
                 names.entry({**good, **bad})
 
+    async def test_a_slow_peer_is_told_so_and_closed(self):
+        with mock.patch("millethead.net.accept.READ_TIME", 0.05):
+            async with Stage() as stage:
+                reader, writer = await asyncio.open_connection("127.0.0.1", stage.port("client"))
+                writer.write(b"GET /up HTTP/1.1\r\nHo")
+                self.assertIn(b" 408 ", await asyncio.wait_for(reader.read(), PATIENCE))
+                writer.close()
+
     async def test_a_start_time_of_the_list_is_a_time_of_the_modules_clock(self):
         """since_ms is Unix time: on another clock a cold worker would look warm, or cold for ever."""
         async with Stage() as stage:
