Test the core and the sending stage alone; guard a cancel against a newer attempt

Seen: changing two guards by hand (old news 'returned', a drain while a connection comes up) left all tests green, so nothing would have noticed their loss; six other such changes were caught. At fault besides: send.py _delete could name an attempt that had gone to the same worker anew.

--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -148,6 +148,9 @@
         self._deletes += 1
         try:
             conn = await self.pool.take(address)
+            if (attempt.order.id, attempt.worker.name) in self._running:
+                self.pool.give_back(address, conn)  # it is there anew, and the id would name that one
+                return
             try:
                 await within(DELETE_TIME, conn.write(
                     f"DELETE /jobs/{attempt.order.id} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,130 @@
+"""The core alone, with a clock and sides of its own: one answer for each job, whatever comes."""
+
+import heapq
+import subprocess
+import sys
+import unittest
+from unittest import mock
+
+from millethead.decide import interface as api
+from millethead.exchange import Exchange, Final, Listed, Order
+
+SAFE = api.JobClass(deadline=5000, aim=2000, stretch=2, effect=api.Effect.SAFE)
+UNSAFE = api.JobClass(deadline=5000, aim=2000, stretch=2)
+SETTINGS = api.Settings(classes=(SAFE, UNSAFE), may_cancel=True, max_attempts=3, tick=5.0)
+
+
+class Clock:
+    def __init__(self):
+        self.time, self.count, self.due = 1000.0, 0, []
+
+    def now(self):
+        return self.time
+
+    def later(self, delay, call):
+        self.count += 1
+        timer = mock.Mock(call=call, off=False)
+        timer.cancel = lambda: setattr(timer, "off", True)
+        heapq.heappush(self.due, (self.time + delay, self.count, timer))
+        return timer
+
+    def run(self, until):
+        while self.due and self.due[0][0] <= until:
+            self.time, _, timer = heapq.heappop(self.due)
+            if not timer.off:
+                timer.call()
+        self.time = until
+
+
+class Side:
+    def __init__(self):
+        self.started, self.given_up = [], []
+
+    def start(self, attempt):
+        self.started.append(attempt)
+
+    def give_up(self, attempt):
+        self.given_up.append(attempt)
+
+    def probe(self, worker):
+        raise AssertionError("no probes are allowed here")
+
+
+class Core(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.side, self.answers = Clock(), Side(), []
+        self.exchange = Exchange(SETTINGS, 1, self.clock)
+        self.exchange.listed(self.side, api.ListForm.FULL, [Listed("w1"), Listed("w2")])
+
+    def arrive(self, job_id, job_class=0):
+        return self.exchange.arrive(Order(job_id, job_class, 5000.0), self.answers.append)
+
+    def finals(self):
+        return [answer.final for answer in self.answers]
+
+    def test_an_attempt_ends_once_and_a_job_is_answered_once(self):
+        self.arrive("a")
+        (attempt,) = self.side.started
+        self.exchange.ended(attempt, api.Outcome.OK, b"seat")
+        self.exchange.ended(attempt, api.Outcome.RESET)
+        self.exchange.ended(attempt, api.Outcome.OK, b"other")
+        self.clock.run(20_000)
+        self.assertEqual([(a.final, a.result) for a in self.answers], [(Final.SERVED, b"seat")])
+        self.assertEqual((self.exchange.held, self.exchange._jobs, self.exchange._bodies), (0, {}, 0))
+
+    def test_silence_is_a_time_out_and_answered_before_the_client_quits(self):
+        self.arrive("a", 1)
+        self.clock.run(5999)
+        self.assertEqual(self.finals(), [Final.FAILED])
+        self.assertEqual(len(self.side.given_up), 1)
+
+    def test_a_module_that_breaks_leaves_no_job_without_answer(self):
+        with mock.patch.object(self.exchange._module, "handle", side_effect=ZeroDivisionError):
+            self.arrive("a")
+            self.clock.run(6010)
+        self.assertEqual(self.finals(), [Final.FAILED])
+
+    def test_the_last_guard_stops_a_second_run_of_what_must_not_run_twice(self):
+        number = self.arrive("a", 1)
+        (attempt,) = self.side.started
+        again = [api.Send(number, attempt.worker.number)]
+        with mock.patch.object(self.exchange._module, "handle", side_effect=[again, []]):
+            self.exchange.ended(attempt, api.Outcome.RESET)
+        self.assertEqual(len(self.side.started), 1)
+
+    def test_an_id_that_may_have_run_is_not_run_again(self):
+        self.arrive("a", 1)
+        self.arrive("a", 1)  # while it is held
+        self.exchange.ended(self.side.started[0], api.Outcome.RESET)
+        self.arrive("a", 1)  # and after
+        self.assertEqual((self.finals(), len(self.side.started)), ([Final.FAILED] * 3, 1))
+
+    def test_a_withdrawn_job_gets_no_answer_and_its_attempt_is_given_up(self):
+        self.exchange.withdraw(self.arrive("a"))
+        self.clock.run(20_000)
+        self.assertEqual((self.answers, len(self.side.given_up), self.exchange._jobs), ([], 1, {}))
+
+    def test_a_whole_list_speaks_for_its_own_side_alone(self):
+        other = Side()
+        self.exchange.listed(other, api.ListForm.DELTA, [Listed("w9")])
+        self.exchange.listed(self.side, api.ListForm.FULL, [])
+        self.arrive("a")
+        self.assertEqual([a.worker.name for a in other.started], ["w9"])
+
+    def test_what_is_held_is_bounded(self):
+        with mock.patch("millethead.exchange.core.HELD", 2):
+            for job_id in "abc":
+                self.arrive(job_id)
+        self.assertEqual(self.finals(), [Final.REFUSED])
+        for n in range(5):
+            with mock.patch("millethead.exchange.core.KEPT", 2):
+                self.exchange.ended(self.side.started[0], api.Outcome.OK)
+                self.side.started.clear()
+                self.arrive(f"d{n}")
+        self.assertLessEqual(len(self.exchange._records), 2)
+
+    def test_the_core_knows_no_wire(self):
+        code = "import sys, millethead.exchange as x; print(sorted(m for m in sys.modules if 'tornado' in m" \
+               " or m.startswith(('http', 'millethead.net', 'millethead.fronts'))))"
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+        self.assertEqual(done.stdout.strip(), "[]")
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import unittest
 from collections import Counter
 from contextlib import suppress
@@ -218,6 +219,25 @@
         self.assertEqual(self.town.runs["search-02"], 0)
 
 
+class Flows(unittest.IsolatedAsyncioTestCase):
+    async def test_the_program_exports_each_exchange_and_only_where_it_is_set_up(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as collector:
+            collector.bind(("127.0.0.1", 0))
+            collector.settimeout(PATIENCE)
+            operator = f'[ipfix]\ncollector = "127.0.0.1:{collector.getsockname()[1]}"\n'
+            async with Stage(operator) as stage:
+                self.assertIsNone(stage.program.faktory)
+                town = Town(stage)
+                self.assertIn("200", await asyncio.wait_for(town.post("flow0001"), PATIENCE))
+                message = await asyncio.to_thread(collector.recv, 65536)
+                await town.close()
+        self.assertEqual(message[:2], b"\0\x0a")
+        self.assertTrue(message.endswith(b"\x03\x00\xc8\x0cpaid-booking"))  # ended by itself, 200, class
+        async with Stage() as stage:
+            self.assertIsNone(stage.program.faktory)
+            self.assertIsNone(stage.program.flows)
+
+
 class Login(unittest.TestCase):
     def test_hash(self):
         """The example that Faktory's own client library tests itself with."""
--- /dev/null
+++ b/tests/test_send.py
@@ -0,0 +1,64 @@
+"""What the sending stage says of an attempt where a recording cannot force the moment."""
+
+import unittest
+from unittest import mock
+
+from millethead.decide.interface import Outcome, WorkerState
+from millethead.exchange import Attempt, Listed, Order, Worker
+from millethead.net.send import HttpWorkers
+
+ADDRESS = ("127.0.0.1", 9)
+
+
+class Sending(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.exchange, self.pool = mock.Mock(), mock.Mock()
+        self.side = HttpWorkers(self.exchange, self.pool, mock.Mock(), lambda text: None)
+        self.worker = Worker(1, Listed("w", ADDRESS), self.side)
+
+    def attempt(self, **more):
+        made = Attempt(Order("a1", 0, 5000.0, target="/api"), 1, 0, self.worker, 0.0, 5000.0, **more)
+        self.side._running["a1", "w"] = made
+        return made
+
+    def outcomes(self):
+        return [call.args[1] for call in self.exchange.ended.call_args_list]
+
+    def test_returned_proves_nothing_where_the_job_was_at_that_worker_before(self):
+        """It can be the news of the earlier attempt once more, and the later one may be running."""
+        for earlier, outcome in ((False, Outcome.FULL), (True, Outcome.RESET)):
+            self.exchange.reset_mock()
+            self.attempt(whole=True, earlier_here=earlier)
+            self.assertTrue(self.side.news("a1", "w", "returned", b"", None))
+            self.assertFalse(self.side.news("a1", "w", "returned", b"", None))  # acted on once
+            self.assertEqual(self.outcomes(), [outcome])
+
+    def test_returned_before_the_last_byte_is_of_an_earlier_attempt(self):
+        self.attempt(earlier_here=True)
+        self.assertFalse(self.side.news("a1", "w", "returned", b"", None))
+        self.assertEqual(self.outcomes(), [])
+
+    async def test_nothing_is_sent_to_a_worker_that_began_to_drain_while_its_connection_came_up(self):
+        conn = mock.Mock()
+
+        async def take(address):
+            self.worker.take(Listed("w", ADDRESS, state=WorkerState.DRAINING))
+            return conn
+
+        self.pool.take = take
+        await self.side._try(self.attempt())
+        self.assertEqual(self.outcomes(), [Outcome.NEVER_SENT])
+        conn.write.assert_not_called()
+        self.pool.give_back.assert_called_once_with(ADDRESS, conn)
+
+    async def test_a_cancel_is_not_told_of_an_id_that_is_at_the_worker_anew(self):
+        old = self.attempt(whole=True)
+        self.attempt()
+        self.pool.take = mock.AsyncMock()
+        await self.side._delete(old)
+        self.pool.take.return_value.write.assert_not_called()
+
+    def test_two_jobs_of_one_id_are_never_at_one_worker_together(self):
+        self.attempt()
+        self.side.start(Attempt(Order("a1", 0, 5000.0), 2, 0, self.worker, 0.0, 5000.0))
+        self.assertEqual(self.outcomes(), [Outcome.NEVER_SENT])
