Say why discovery was lost: log the socket's own error

Seen: with nobody at discovery's address, discovery_lost said only 'Stream is closed', which does not help on-call staff tell a refused connection from a watch that ended. Checked: started with the example operator's file: both fronts listen, /up is 503 without workers, SIGTERM ends it with 0; 142 tests.

--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -117,7 +117,7 @@
                 await self._ask(turn)
             await call(turn)
         except (Closed, Late, OSError) as error:
-            why = str(error) or type(error).__name__
+            why = str(getattr(error, "real_error", None) or error) or type(error).__name__
         except (BadMessage, BadList, OverflowError, ValueError) as error:
             log.warning("discovery_bad_line", why=str(error))
             why, self.index = "a bad line", None
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -81,7 +81,7 @@
         if self.flows is not None:
             self.flows.start()
         self.discovery.known(self.config.known)
-        log.info("serving", name=self.config.name)
+        log.info("serving")
         self.serving.set()
         await self._ended.wait()
         await asyncio.sleep(0.05)  # the last answers are still being written
