Read the configuration anew on SIGHUP and move the watch to the new address

The program ended with 129 on the first SIGHUP (nothing handled it, so the default action killed the process), and every job it held was lost. At fault: program.py `run`, which set handlers for SIGTERM and SIGINT only; discovery.py, whose address was fixed at the start. Ruled out by the byte exchange in the test: keeping `since=` for the new address would trust its versions to be counted like the old ones; the whole list is asked for instead. The old watch need not be kept, since the last list stands until the new one has come. Also: limits and figures of the module are taken over in place; names, listen address and indexes need a restart and are named in one log line; a file that cannot be used changes nothing.

--- a/millethead/config.py
+++ b/millethead/config.py
@@ -47,7 +47,7 @@
         raise ConfigError("BALANCER_CONFIG is not set")
     try:
         raw = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not a JSON object")
--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -87,8 +87,8 @@
 
     __slots__ = ("index", "quota", "reserve", "weight", "local", "glob", "lowered", "heaps", "waiting")
 
-    def __init__(self, index: int, quota: float, weight: float) -> None:
-        self.index, self.quota, self.reserve, self.weight = index, quota, quota, weight
+    def __init__(self, index: int) -> None:
+        self.index, self.quota, self.reserve, self.weight = index, 0.0, 1e-9, 1.0
         self.local = self.glob = -inf
         self.lowered = 0.0
         self.heaps: dict[tuple[int, int, int, int], list[tuple[int, int, _Job]]] = {}
@@ -135,15 +135,18 @@
         self.waiting = self.tickets = self.own = 0
         self.sweeping = self.watching = self.asked = False
         self.backoff = 0.0
-        quotas = [t.reservation for t in settings.tenants]
-        known = [q for q in quotas if q]
+        self.flows = [_Flow(n) for n in range(max(1, len(settings.tenants)))]
+        self.reconfigure(settings)
+
+    def reconfigure(self, settings: api.Settings) -> None:
+        """Go on with new figures for the same classes and tenants: tags already given stay as they are."""
+        self.set = settings
+        known = [t.reservation for t in settings.tenants if t.reservation]
         mean = sum(known) / len(known) if known else 1.0
-        tenants = settings.tenants or (None,)
-        self.flows = [_Flow(n, (t.reservation if t and t.reservation is not None else mean) / 1000,
-                            (t.weight if t else 1.0) * mean / 1000 / settings.nodes)
-                      for n, t in enumerate(tenants)]
-        for f in self.flows:
-            f.reserve = max(f.quota / settings.nodes, 1e-9)
+        for flow, t in zip(self.flows, settings.tenants or (None,), strict=True):
+            flow.quota = (t.reservation if t and t.reservation is not None else mean) / 1000
+            flow.weight = (t.weight if t else 1.0) * mean / 1000 / settings.nodes
+            flow.reserve = max(flow.quota / settings.nodes, 1e-9)
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take in one event; returns what to do about it, in order."""
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -133,6 +133,11 @@
             self._feed(api.JobWithdrawn(number))
             self._forget(held)
 
+    def reconfigure(self, settings: api.Settings) -> None:
+        """New figures for the same classes and tenants; what is held keeps the deadline it came with."""
+        self.settings = settings
+        self._module.reconfigure(settings)
+
     def close(self) -> None:
         """Take nothing more; `on_empty` is called when all that is held has its answer."""
         self.closing = True
--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -100,6 +100,14 @@
         if on:
             IOLoop.current().spawn_callback(self._run, self._turn, self._watch)
 
+    def move(self, address: Address) -> None:
+        """Go to another address at once, without waiting for the old one to close. Versions may be counted
+        anew there, so the whole list is wanted; until it comes, the last one stands."""
+        if address != self.address:
+            log.info("discovery_moves", address=f"{address[0]}:{address[1]}")
+            self.address, self.index, self._failures = address, None, 0
+            self.watch(True)
+
     def ask(self) -> None:
         IOLoop.current().spawn_callback(self._run, self._turn, self._ask)
 
--- a/millethead/net/pool.py
+++ b/millethead/net/pool.py
@@ -26,13 +26,16 @@
 
 class Pool:
     def __init__(self, limit: int, connect_ms: float, idle_ms: float) -> None:
-        self.limit, self.connect_s = limit, connect_ms / 1000
+        self.limit, self.open = limit, 0
+        self.set_times(connect_ms, idle_ms)
+        self._idle: dict[Address, list[Connection]] = {}
+        self._sweep = PeriodicCallback(self.sweep, 5000)
+
+    def set_times(self, connect_ms: float, idle_ms: float) -> None:
+        self.connect_s = connect_ms / 1000
         # a peer may close at its idle limit, and a request that crosses the close counts as one that may have
         # run: well before that limit a connection is no longer used
         self.idle_s = max(0.0, min(idle_ms * 0.8, idle_ms - 2000)) / 1000
-        self.open = 0
-        self._idle: dict[Address, list[Connection]] = {}
-        self._sweep = PeriodicCallback(self.sweep, 5000)
 
     def start(self) -> None:
         self._sweep.start()
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -5,12 +5,13 @@
 import asyncio
 import signal
 import threading
+from collections.abc import Callable
 
 import structlog
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from millethead.config import Config, ConfigError
+from millethead.config import Config, ConfigError, load_config
 from millethead.decide.settings import report_field
 from millethead.exchange.core import Exchange
 from millethead.flows.ipfix import Exporter
@@ -32,15 +33,14 @@
 
 
 class Program:
-    def __init__(self, config: Config, operator: Operator | None = None) -> None:
-        self.config, self.operator = config, operator or Operator()
-        permit = config.info.get("permissions") or {}
+    def __init__(self, config: Config, operator: Operator | None = None,
+                 load: Callable[[], Config] = load_config) -> None:
+        self.config, self.operator, self.load = config, operator or Operator(), load
         family = config.info.get("family_info") or {}
         fields = {name: field for name in REPORT_NAMES if (field := report_field(name, family))}
         report = report_reader(fields)
         self.exchange = Exchange(config.settings, config.seed, LoopClock())
-        self.pool = Pool(config.sockets * 3 // 10, config.settings.connect_timeout,
-                         float(permit.get("keepalive") or 60_000.0))
+        self.pool = Pool(0, *_times(config))
         self.workers = HttpWorkers(self.exchange, self.pool, Probes(self.exchange, self.pool, report), report)
         names = Names(config.names("azs"), config.names("kinds"))
         self.discovery = Discovery(self.exchange, self.workers, config.discovery, names)
@@ -49,16 +49,13 @@
                               self.workers.news, report)
         setup = self.operator.faktory
         self.faktory: FaktoryServer | None = None
-        # of the descriptors, a few stay for the loop, the listeners and discovery
-        room = config.sockets * 6 // 10
+        room = self._share_sockets(config.sockets)
         if setup is not None:
-            taken = min(setup.connections, room // 2)
-            room -= taken
             jobs = Jobs(setup, config.names("classes"), config.names("tenants"),
                         [c.deadline for c in config.settings.classes])
             fetchers = FaktoryWorkers(self.exchange, jobs, names.zones.get(setup.zone, 0),
                                       names.kinds.get(setup.kind, len(names.kinds)))
-            self.faktory = FaktoryServer(self.exchange, jobs, fetchers, taken)
+            self.faktory = FaktoryServer(self.exchange, jobs, fetchers, config.sockets * 6 // 10 - room)
         self.acceptor = Acceptor(front.serve, room)
         self.flows: Exporter | None = None
         if self.operator.flows is not None:
@@ -74,6 +71,7 @@
         if threading.current_thread() is threading.main_thread():
             for number in (signal.SIGTERM, signal.SIGINT):
                 asyncio.get_running_loop().add_signal_handler(number, self.stop)
+            asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
         _listen(self.acceptor, self.config.listen)
         if self.faktory is not None and self.operator.faktory is not None:
             _listen(self.faktory, self.operator.faktory.listen)
@@ -93,8 +91,45 @@
             self.flows.stop()
         self.discovery.stop()
         self.pool.stop()
+        if threading.current_thread() is threading.main_thread():
+            # one more SIGHUP while the interpreter winds up must not turn an orderly end into a crash
+            asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
         log.info("ended")
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration anew. What cannot change in service waits for a restart; a file
+        that cannot be used changes nothing."""
+        old = self.config
+        try:
+            new = self.load()
+        except ConfigError as error:
+            log.error("reload_failed", why=str(error))
+            return
+        fixed = [what for what, differs in (
+            ("name", new.name != old.name), ("listen", new.listen != old.listen),
+            *((key, new.names(key) != old.names(key)) for key in ("azs", "kinds", "classes", "tenants")),
+            *((key, new.info.get(key) != old.info.get(key)) for key in ("zone", "self_index", "balancers",
+                                                                        "membership_mode", "report")),
+        ) if differs]
+        log.info("reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}",
+                 needs_restart=",".join(fixed) or "nothing")
+        if not fixed and new.settings != old.settings:
+            self.exchange.reconfigure(new.settings)
+            self.pool.set_times(*_times(new))
+        room = self._share_sockets(new.sockets)
+        self.acceptor.limit = room
+        self.config = new
+        self.discovery.move(new.discovery)
+
+    def _share_sockets(self, sockets: int) -> int:
+        """Bounds the pool; returns what is left for clients. A few descriptors stay for loop, listeners
+        and discovery."""
+        self.pool.limit = sockets * 3 // 10
+        room = sockets * 6 // 10
+        setup = self.operator.faktory
+        return room - (min(setup.connections, room // 2) if setup is not None else 0)
+
     def stop(self) -> None:
         loop = asyncio.get_running_loop()
         if threading.current_thread() is threading.main_thread():
@@ -115,6 +150,12 @@
         self.exchange.close()
 
 
+def _times(config: Config) -> tuple[float, float]:
+    """(ms that a connection to a worker may take to come up, ms that a worker keeps an idle one)."""
+    permit = config.info.get("permissions") or {}
+    return config.settings.connect_timeout, float(permit.get("keepalive") or 60_000.0)
+
+
 def _listen(server: TCPServer, address: tuple[str, int]) -> None:
     host, port = address
     try:
--- a/tests/play.py
+++ b/tests/play.py
@@ -15,6 +15,7 @@
 import re
 import socket
 import tempfile
+from functools import partial
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -97,15 +98,17 @@
         self.discovery = await Peers().open()
         known = {"index": 41, "snapshot": True,
                  "endpoints": [endpoint(n + 1, w.port) for n, w in enumerate(self.workers)]}
-        (base / "config.json").write_text(json.dumps({
-            "name": "n1", "seed": "1", "listen": "127.0.0.1:0",
-            "discovery": f"127.0.0.1:{self.discovery.port}",
-            "limits": {"sockets": 256}, "known": known, "settings": self.settings}))
+        self.path = base / "config.json"
+        self.config = {"name": "n1", "seed": "1", "listen": "127.0.0.1:0",
+                       "discovery": f"127.0.0.1:{self.discovery.port}",
+                       "limits": {"sockets": 256}, "known": known, "settings": self.settings}
+        self.path.write_text(json.dumps(self.config))
         (base / "operator.toml").write_text(self.operator)
         (base / "password").write_text("tea\n")
-        config = load_config({"BALANCER_CONFIG": str(base / "config.json")})
+        load = partial(load_config, {"BALANCER_CONFIG": str(self.path)})
+        config = load()
         operator = load_operator(str(base / "operator.toml"), config.names("classes"), config.names("azs"))
-        self.program = Program(config, operator)
+        self.program = Program(config, operator, load)
         self.task = asyncio.create_task(self.program.run())
         while not self.program.serving.is_set():
             await asyncio.sleep(0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -97,6 +97,59 @@
             self.assertIn(b"event=ended", said)
             self.assertEqual(await process.wait(), 0)
 
+    async def test_sighup_reads_the_file_anew_and_a_bad_one_changes_nothing(self):
+        """SIGHUP once ended the program with 129, and all that it held was lost."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(CONFIG))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "millethead", "serve", cwd=ROOT, stdout=subprocess.PIPE,
+                env={**os.environ, "BALANCER_CONFIG": str(path)})
+            for text, want in ((None, b"event=serving"), ("{", b"event=reload_failed"),
+                               (json.dumps({**CONFIG, "listen": "127.0.0.1:1"}), b"needs_restart=listen")):
+                if text is not None:
+                    path.write_text(text)
+                    process.send_signal(signal.SIGHUP)
+                while want not in (line := await asyncio.wait_for(process.stdout.readline(), PATIENCE)):
+                    self.assertTrue(line, "the program ended")
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0)
+            process.send_signal(signal.SIGHUP)  # on its way out too
+            await asyncio.wait_for(process.stdout.read(), PATIENCE)
+            self.assertEqual(await process.wait(), 0)
+
+    async def test_a_reload_moves_the_watch_and_keeps_workers_and_readiness(self):
+        async with Stage() as stage:
+            program, other = stage.program, await Peers().open()
+            self.addCleanup(other.close)
+            old, _ = await asyncio.wait_for(stage.discovery.came.get(), PATIENCE)
+            self.assertIn(b"since=41 ", await old.readuntil(b"\r\n\r\n"))
+            stage.path.write_text("{")
+            program.reload()  # a bad file: the old watch stays
+            self.assertEqual(program.discovery.address, ("127.0.0.1", stage.discovery.port))
+            settings = {**SETTINGS, "tenants": [{"name": "rustaveli-desks", "quota_rps": 4.0},
+                                                {"name": "rioni-hub", "quota_rps": 4.0}]}
+            stage.path.write_text(json.dumps({**stage.config, "discovery": f"127.0.0.1:{other.port}",
+                                              "limits": {"sockets": 100}, "settings": settings}))
+            program.reload()
+            program.reload()  # once more: only the last watch counts, and there is but one
+            self.assertEqual(await asyncio.wait_for(old.read(), PATIENCE), b"")
+            self.assertTrue(program.exchange.ready)
+            self.assertEqual((program.pool.limit, program.acceptor.limit), (30, 60))
+            self.assertEqual([f.quota for f in program.exchange._module.flows], [0.004, 0.004])
+            reader, writer = await asyncio.wait_for(other.came.get(), PATIENCE)
+            # another service may count its versions otherwise: the whole list is asked for
+            self.assertNotIn(b"since", await reader.readuntil(b"\r\n\r\n"))
+            lines = [endpoint(1, stage.workers[0].port, status="terminating"),
+                     endpoint(2, stage.workers[1].port)]
+            line = json.dumps({"index": 2, "snapshot": True, "endpoints": lines}).encode() + b"\n"
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
+                         % (len(line), line))
+            while program.exchange.worker("s-00000001").open:
+                await asyncio.sleep(0)
+            self.assertTrue(program.exchange.worker("s-00000002").open)
+            self.assertTrue(other.came.empty())
+
     async def test_stopping_takes_what_still_arrives_and_answers_what_is_held(self):
         async with Stage(workers=1) as stage:
             taken = asyncio.Queue()
