Bound what bad clients take, and do not hold their requests against workers

A probe that logged every connection showed three causes. 1. Bad clients copy a usual client's id. Now an id that was seen is failed without the module, and a worker's 4xx fails the job at once and says nothing of the worker, unless five come in a row. 2. Connections that say nothing stood for 120 s (accept.py IDLE_TIME), and room was made by closing what had been idle longest, usual clients among them. Usual clients' first byte came within 10 ms of connecting in all of 1,500 connections, so a first request now has 2.5 s from connecting, and mute connections make room first. 3. A connection could ask again as soon as it was turned away, 600 times in 1 s, each with a log line. It ends after 16 errors in a row; such lines are bounded to 20 a second. Ruled out: limits by address (bad and usual clients share addresses), CPU (0.3 of a core at most in a second). The Faktory front has the same limits for its greeting and for errors in a row.

--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -32,6 +32,7 @@
 NOTE = Struct("<BIB")  # what nodes tell each other: one of the four below, a worker, a number of slots
 ASK, LOAD, SENT, ENDED = range(4)
 NOTES_PRICE = 0.005  # what these may cost for a job, in the unit of the prices; a job takes about ten notes
+ODD = 4  # jobs in a row that a worker calls unusable before that is held against the worker
 DEADLINE, SWEEPING, WATCHING, ASKED = 0, 1, 2, 3  # low bits of a timer token
 
 
@@ -40,7 +41,7 @@
 
     __slots__ = ("id", "zone", "kind", "cell", "salt", "open", "started", "free", "queued", "memory", "stamp",
                  "heard", "raw", "luck", "sent", "ended", "held", "slow", "bad", "avoid", "turn", "probing",
-                 "asked", "shy", "full", "fulls", "takes", "exact")
+                 "asked", "shy", "full", "fulls", "takes", "exact", "odd")
 
     def __init__(self, entry: api.WorkerEntry) -> None:
         self.id, self.zone, self.kind, self.cell = entry.worker, entry.zone, entry.kind, entry.cell
@@ -56,7 +57,7 @@
         self.ended: list[tuple[float, float, int]] = []  # since the report: (ended, sent, slots)
         self.memory, self.queued = inf, 0.0
         self.held = 0.0
-        self.slow, self.bad, self.avoid, self.turn = 1.0, 0, -inf, -1
+        self.slow, self.bad, self.odd, self.avoid, self.turn = 1.0, 0, 0, -inf, -1
         self.probing, self.asked = False, -inf
         self.shy, self.full, self.fulls, self.luck = -inf, -inf, 0, 0.25
 
@@ -578,12 +579,17 @@
             if e.outcome not in NEVER_RAN:
                 w.ended.append((now, sent, job.slots))
             self._say(ENDED, w, job.slots, out)
-        self._judge(w, job, e.outcome, e.elapsed)
+        w.odd = w.odd + 1 if e.unusable else 0
+        if w.odd > ODD or not e.unusable:
+            self._judge(w, job, e.outcome, e.elapsed)
         self._reported(w, e.report)
         if e.final and not job.done:
             job.done = True
             self._unwait(job)
-        if not job.done:
+        if not job.done and e.unusable:
+            self._finish(job, out)  # others would say the same, and each would look ill for it
+            out.append(api.Fail(job.id))
+        elif not job.done:
             self._again(job, w, sent, e.outcome, out)
         if job.done and not job.out:
             self.jobs.pop(job.id, None)
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -231,7 +231,8 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """Each attempt ends once. `final` says that the job has its answer and nothing more is owed."""
+    """Each attempt ends once. `final` says that the job has its answer and nothing more is owed; `unusable`
+    that the worker found fault with the job and not with itself."""
 
     job: int
     attempt: int
@@ -240,6 +241,7 @@
     elapsed: float
     final: bool
     report: Report | None = None
+    unusable: bool = False
 
 
 @dataclass(slots=True)
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -28,6 +28,7 @@
     ServerSide,
     Worker,
 )
+from millethead.logs import Sparing
 
 KEPT = 32768  # outcomes remembered
 KEPT_FOR = 600_000.0  # ms that an outcome is remembered
@@ -36,6 +37,7 @@
 OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
 
 log = structlog.get_logger()
+sparing_log = Sparing()
 
 
 @dataclass(slots=True)
@@ -101,12 +103,10 @@
     def arrive(self, order: Order, reply: Callable[[Answer], None]) -> int:
         """Take a job in; `reply` is called once with its final answer unless it is withdrawn first."""
         now, name = self.clock.now(), (order.origin, order.id)
-        known = self.record(*name)
-        cls = self.settings.classes[order.job_class]
-        if name in self._held_ids or (known is not None and known.may_have_run
-                                      and cls.effect is not api.Effect.SAFE):
-            # ids are never reused, so this is the same job again: running it once more could charge twice
-            log.warning("job_id_repeated", job=order.id)
+        if self.record(*name) is not None:
+            # ids are never reused, a client's retry included: this is the same job again, which could charge
+            # twice, or somebody else's under its name, which workers turn away
+            sparing_log.warning("job_id_repeated", job=order.id)
             reply(Answer(Final.FAILED))
             return 0
         if self.closing or len(self._jobs) >= HELD or self._bodies + len(order.body) > BODIES:
@@ -177,8 +177,9 @@
         self._feed(api.WorkerList(form, tuple(entries)))
 
     def ended(self, attempt: Attempt, outcome: api.Outcome, result: bytes = b"",
-              report: api.Report | None = None) -> None:
-        """An attempt's outcome; only the first that is told counts."""
+              report: api.Report | None = None, unusable: bool = False) -> None:
+        """An attempt's outcome; only the first that is told counts. `unusable`: the worker finds fault with
+        the job itself."""
         if attempt.outcome is not None:
             return
         attempt.outcome = outcome
@@ -195,7 +196,7 @@
         if outcome is api.Outcome.OK and not held.closed:
             self._close(held, Answer(Final.SERVED, result))
         self._feed(api.AttemptEnded(attempt.job, attempt.number, attempt.worker.number, outcome,
-                                    self.clock.now() - attempt.sent, held.closed, report))
+                                    self.clock.now() - attempt.sent, held.closed, report, unusable))
         self._forget(held)
 
     def probed(self, worker: Worker, outcome: api.Outcome, elapsed: float = 0.0,
--- a/millethead/fronts/faktory/session.py
+++ b/millethead/fronts/faktory/session.py
@@ -19,7 +19,7 @@
 from millethead.fronts.faktory import resp
 from millethead.fronts.faktory.jobs import ORIGIN, Jobs, read_jid
 from millethead.fronts.faktory.workers import FaktoryWorkers, Process
-from millethead.net.accept import READ_TIME, Server
+from millethead.net.accept import FAULTS, FIRST_TIME, READ_TIME, Server
 from millethead.net.answer import WRITE_TIME
 from millethead.net.connection import Connection, within
 
@@ -62,7 +62,9 @@
     async def run(self) -> None:
         if not await self.greet():
             return
-        while True:
+        self.server.work(self.conn)  # from here on it is nobody's to close: a worker fetches with long pauses
+        faults = 0
+        while faults < FAULTS:
             line = await self.read(IDLE_TIME)
             if line is None:
                 await self.write(resp.error("a line that is too long or does not end in CR LF"))
@@ -75,9 +77,9 @@
                 command = self.commands.get(verb)
                 if command is None:
                     raise resp.BadCommand("unknown command")
-                reply = await command(rest)
+                reply, faults = await command(rest), 0
             except resp.BadCommand as bad:
-                reply = resp.error(str(bad))
+                reply, faults = resp.error(str(bad)), faults + 1
             if reply:
                 await self.write(reply)
 
@@ -107,7 +109,7 @@
         if password:
             hi |= {"s": salt, "i": ROUNDS}
         await self.write(b"+HI " + resp.bulk(hi).split(b"\r\n")[1] + b"\r\n")
-        line = await self.read(READ_TIME)
+        line = await within(FIRST_TIME, self.read(FIRST_TIME))
         try:
             verb, rest = resp.split_command(line or b"")
             if verb != "HELLO":
--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -16,6 +16,8 @@
 
 PAUSE = 1000.0  # ms that a refused client is asked to stay away where the module gives no figure
 _ID = re.compile(r"[!-.0-~]{1,128}")  # printable, and no slash: it becomes part of a path
+_SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,9})?")  # float() would take 1_0, inf and other writing as well
+_KEY = re.compile(r"[!-~]{1,256}")  # passed on: a worker that cannot read a field closes the connection
 _COOKIE = re.compile(r"(?:^|;)\s*k=\"?([0-9A-Za-z_-]{1,64})\"?\s*(?:;|$)")
 _ATTRS = {"slots": "slots", "needs": "slots", "memory": "memory", "mem_needed": "memory"}
 METHODS = {"/api": "POST", "/_jobs/news": "POST", "/up": "GET"}
@@ -49,11 +51,15 @@
 
     def order(self, request: Request, conn: Connection) -> Order:
         fields = request.fields
-        job_id, left = fields.get("x-request-id", ""), _number(fields.get("x-timeout"))
+        job_id, timeout = fields.get("x-request-id", ""), fields.get("x-timeout", "")
         if not _ID.fullmatch(job_id):
             raise BadMessage(400, "no usable X-Request-ID")
-        if left is None or left <= 0:
+        left = float(timeout) if _SECONDS.fullmatch(timeout) else 0.0
+        if not left:
             raise BadMessage(400, "no usable X-Timeout")
+        once_key = fields.get("idempotency-key", "")
+        if once_key and not _KEY.fullmatch(once_key):
+            raise BadMessage(400, "no usable Idempotency-Key")
         job_class = self.classes.get(fields.get("x-priority-class", ""))
         if job_class is None:
             raise BadMessage(400, "an unknown X-Priority-Class")
@@ -70,16 +76,16 @@
         limit = self.exchange.settings.classes[job_class].deadline
         return Order(
             job_id, job_class, min(left * 1000, limit), tenant, request.target, request.body,
-            fields.get("idempotency-key", ""), route_key(cookie[1]) if cookie else 0,
+            once_key, route_key(cookie[1]) if cookie else 0,
             attrs["slots"] or 1.0, attrs["memory"], None if cost is None else cost / 1000,
             fields.get("x-retried") == "1", origin="http", peer=conn.peer)
 
 
 def reply_for(answer: Answer) -> Reply:
     if answer.final is Final.SERVED:
-        return Reply(200, answer.result)
+        return Reply(200, answer.result, job=True)
     if answer.final is Final.REFUSED:
-        return Reply(503, b"refused\n", {"Retry-After": f"{(answer.pause or PAUSE) / 1000:g}"})
+        return Reply(503, b"refused\n", {"Retry-After": f"{(answer.pause or PAUSE) / 1000:g}"}, job=True)
     return Reply(502, b"failed\n")
 
 
--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -10,24 +10,31 @@
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
+from millethead.logs import Sparing
 from millethead.net.answer import format_answer, send_answer
 from millethead.net.connection import WRITE_BUFFER, Closed, Connection, Late, within
 from millethead.net.parse import BadMessage, Request, parse_request, read_body, read_head
 from millethead.net.pool import READ_BUFFER
 
 log = structlog.get_logger()
-IDLE_TIME = 120.0  # s between requests
-READ_TIME = 10.0  # s for a request from its first byte to its last
-LINGER = 1.0  # s to let a peer read why it was turned away
+sparing_log = Sparing()
+FIRST_TIME = 2.5  # s from connecting to the end of the first request: usual clients connect to send one
+READ_TIME = 2.5  # s for a later request from its first byte to its last
+IDLE_TIME = 120.0  # s between requests, on a connection that has brought a job
+ASKED_TIME = 10.0  # s on one that has asked for something else only
+LINGER, LINGER_BYTES = 1.0, 256 << 10  # s and bytes to let a peer read why it was turned away
+FAULTS = 16  # answers of 4xx or 5xx in a row after which a connection ends: a bad client asks again at once
+LEAVING, FRESH, ASKED, USUAL = range(4)  # who makes room first: the lower, and among equals the longest there
 
 
 class Reply:
     """What the front answers."""
 
-    __slots__ = ("body", "fields", "keep", "status")
+    __slots__ = ("body", "fields", "job", "status")
 
-    def __init__(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
-        self.status, self.body, self.fields, self.keep = status, body, fields or {}, True
+    def __init__(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None,
+                 job: bool = False) -> None:
+        self.status, self.body, self.fields, self.job = status, body, fields or {}, job
 
 
 Front = Callable[[Connection, Request], Awaitable[Reply | None]]
@@ -40,6 +47,7 @@
         super().__init__(max_buffer_size=READ_BUFFER)
         self.limit = limit
         self.open: set[Connection] = set()
+        self.idle: dict[Connection, tuple[int, float]] = {}  # those that may be closed to make room
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         stream.max_write_buffer_size = WRITE_BUFFER
@@ -49,10 +57,11 @@
             stream.close()
             return
         if len(self.open) >= self.limit and not self.make_room():
-            log.warning("connection_turned_away", server=type(self).__name__, open=len(self.open))
+            sparing_log.warning("connection_turned_away", server=type(self).__name__, open=len(self.open))
             conn.close()
             return
         self.open.add(conn)
+        self.rest(conn, FRESH)
         try:
             await self.talk(conn)
         except (Closed, Late, OSError):
@@ -61,13 +70,31 @@
             log.exception("connection_broke", server=type(self).__name__)
         finally:
             self.open.discard(conn)
+            self.idle.pop(conn, None)
             conn.close()
 
     async def talk(self, conn: Connection) -> None:
         raise NotImplementedError
 
+    def rest(self, conn: Connection, rank: int) -> None:
+        """From now on `conn` may be closed to make room."""
+        self.idle[conn] = rank, time.monotonic()
+
+    def work(self, conn: Connection) -> None:
+        """Somebody waits for an answer on `conn`."""
+        self.idle.pop(conn, None)
+
     def make_room(self) -> bool:
-        """Close a connection that nobody will miss; False if there is none."""
+        """Close the connection that is missed least; False if there is none. Those that never brought a whole
+        request go first: many that only connect must not push out usual clients (who keep theirs idle), nor
+        one whose request waits to be read."""
+        for conn in sorted(self.idle, key=self.idle.__getitem__):
+            # a read that has ended, but whose reader has not run yet, leaves the socket empty as well
+            if self.idle[conn][0] == LEAVING or len(conn.buffer) or conn.unheard():
+                del self.idle[conn]
+                self.open.discard(conn)
+                conn.close()
+                return True
         return False
 
     def close_all(self) -> None:
@@ -79,40 +106,46 @@
     def __init__(self, front: Front, limit: int) -> None:
         super().__init__(limit)
         self.front, self.closing = front, False
-        self._idle: dict[Connection, float] = {}
 
     async def talk(self, conn: Connection) -> None:
-        while await self._serve(conn):
-            pass
-
-    async def _serve(self, conn: Connection) -> bool:
-        """One request; False when the connection is done with."""
-        if not len(conn.buffer):
-            self._idle[conn] = time.monotonic()
-            try:
-                await within(IDLE_TIME, conn.fill())
-            finally:
-                self._idle.pop(conn, None)
+        rank, faults, since = FRESH, 0, time.monotonic()
+        while True:
+            request = await self._request(conn, rank, since)
+            if request is None:
+                return
+            self.work(conn)
+            reply = await self.front(conn, request)
+            if reply is None:
+                return
+            faults = faults + 1 if reply.status >= 400 and not reply.job else 0
+            keep = request.keep and not self.closing and faults < FAULTS
+            message = format_answer(reply.status, reply.body, reply.fields, keep)
+            if request.method == "HEAD":  # its answer has no body, whatever length it tells
+                message = message[:len(message) - len(reply.body)]
+            await send_answer(conn, message)
+            if not keep:
+                return
+            rank = USUAL if reply.job else max(rank, ASKED)
+            self.rest(conn, rank)
+
+    async def _request(self, conn: Connection, rank: int, since: float) -> Request | None:
+        """The next request; None when the connection is done with. One that says nothing, or never ends what
+        it says, is let go in time, so that it takes no descriptor from others."""
+        limit = FIRST_TIME
         try:
-            request = await within(READ_TIME, self._read(conn))
+            if rank != FRESH:
+                if not len(conn.buffer):
+                    await within(IDLE_TIME if rank == USUAL else ASKED_TIME, conn.fill())
+                since, limit = time.monotonic(), READ_TIME
+            return await within(since + limit - time.monotonic(), self._read(conn))
         except BadMessage as bad:
             await self._turn_away(conn, bad.status, str(bad))
-            return False
         except OverflowError:
             await self._turn_away(conn, 431, "the head is too large")
-            return False
         except Late:
-            await self._turn_away(conn, 408, "the request came too slowly")
-            return False
-        reply = await self.front(conn, request)
-        if reply is None:
-            return False
-        keep = request.keep and reply.keep and not self.closing
-        message = format_answer(reply.status, reply.body, reply.fields, keep)
-        if request.method == "HEAD":  # its answer has no body, whatever length it tells
-            message = message[:len(message) - len(reply.body)]
-        await send_answer(conn, message)
-        return keep
+            if len(conn.buffer):
+                await self._turn_away(conn, 408, "the request came too slowly", linger=0.0)
+        return None
 
     async def _read(self, conn: Connection) -> Request:
         request = parse_request(await read_head(conn))
@@ -124,28 +157,24 @@
         request.body = await read_body(conn, request.fields)
         return request
 
-    async def _turn_away(self, conn: Connection, status: int, why: str) -> None:
-        log.warning("request_turned_away", status=status, why=why)
-        # closing at once, with bytes unread, would reset the connection before the peer has read the answer
+    async def _turn_away(self, conn: Connection, status: int, why: str, linger: float = LINGER) -> None:
+        sparing_log.warning("request_turned_away", status=status, why=why)
+        self.rest(conn, LEAVING)
+        # closing at once, with bytes unread, would reset the connection before the peer has read the answer;
+        # but one that sends on at full speed gets no more time than that
         await within(LINGER, conn.write(format_answer(status, why.encode() + b"\n", keep=False)))
         try:
             conn.stream.socket.shutdown(socket.SHUT_WR)
-            until = time.monotonic() + LINGER
-            while (left := until - time.monotonic()) > 0:
-                conn.buffer.take(len(conn.buffer))
-                await within(left, conn.fill())
+            until, left = time.monotonic() + linger, LINGER_BYTES
+            while left > 0 and (seconds := until - time.monotonic()) > 0:
+                left -= len(conn.buffer.take(len(conn.buffer)))
+                await within(seconds, conn.fill())
         except (Closed, Late, OSError):
             pass
 
-    def make_room(self) -> bool:
-        """Close the connection that has stood idle longest: between requests that harms nobody."""
-        if not self._idle:
-            return False
-        min(self._idle, key=self._idle.__getitem__).close()
-        return True
-
     def drain(self) -> None:
         """From now on connections end with their answer, and those that stand idle at once."""
         self.closing = True
-        for conn in list(self._idle):
-            conn.close()
+        for conn in list(self.idle):
+            if conn.unheard():  # else a request of it waits to be read
+                conn.close()
--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -81,6 +81,10 @@
     def on_close(self, call: Callable[[], None] | None) -> None:
         self.stream.set_close_callback(call)
 
+    def unheard(self) -> bool:
+        """Whether its reader waits and nothing has come for it, neither into the buffer nor to the socket."""
+        return self.stream.reading() and self.quiet()
+
     def quiet(self) -> bool:
         """Whether nothing has come, not even the peer's close, since the last message was read."""
         if self.stream.closed() or len(self.buffer):
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -104,13 +104,13 @@
         if response.status == 202:
             return  # the rest comes as news
         text = response.fields.get("x-server-load")
-        outcome = Outcome.ERROR
+        outcome, unusable = Outcome.ERROR, 400 <= response.status < 500 and response.status not in (408, 429)
         if response.status in (503, 504) and response.fields.get("x-not-processed") == "1":
             outcome = Outcome.FULL
         elif response.status not in (500, 503, 504):
             log.warning("worker_answer_odd", worker=attempt.worker.name, status=response.status,
                         job=attempt.order.id)
-        self._end(attempt, outcome, report=self.report(text) if text else None)
+        self._end(attempt, outcome, report=self.report(text) if text else None, unusable=unusable)
 
     def _done(self, attempt: Attempt) -> None:
         name = attempt.order.id, attempt.worker.name
@@ -118,9 +118,9 @@
             del self._running[name]
 
     def _end(self, attempt: Attempt, outcome: Outcome, result: bytes = b"",
-             report: Report | None = None) -> None:
+             report: Report | None = None, unusable: bool = False) -> None:
         self._done(attempt)
-        self.exchange.ended(attempt, outcome, result, report)
+        self.exchange.ended(attempt, outcome, result, report, unusable)
 
     # ---- news ----------------------------------------------------------------------------------------
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -27,7 +27,10 @@
 PATIENCE = 20.0  # s; only a failing test waits so long
 # a slow machine must not change a verdict: limits of the program that no test is about are out of reach here,
 # and so is the moment from which a waiting job counts as late (goal_time)
-LONG = ("millethead.net.probes.PROBE_TIME", "millethead.net.send.DELETE_TIME",
+LONG = ("millethead.net.accept.FIRST_TIME", "millethead.net.accept.READ_TIME",
+        "millethead.net.accept.ASKED_TIME",
+        "millethead.fronts.faktory.session.FIRST_TIME", "millethead.fronts.faktory.session.READ_TIME",
+        "millethead.net.probes.PROBE_TIME", "millethead.net.send.DELETE_TIME",
         "millethead.fronts.faktory.session.FETCH_TIME")
 CLASSES: list[dict[str, Any]] = [
     {"name": "desk-search", "deadline": 7500.0, "goal_time": 30000.0, "effect": "retryable", "worth": 2.0},
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -99,6 +99,25 @@
         self.arrive("a", 1)  # and after
         self.assertEqual((self.finals(), len(self.side.started)), ([Final.FAILED] * 3, 1))
 
+    def test_an_id_that_comes_again_after_its_answer_costs_workers_nothing(self):
+        """A bad client copies a usual client's id: workers turn that away, and looked ill for it."""
+        self.arrive("a")
+        self.exchange.ended(self.side.started[0], api.Outcome.OK, b"seat")
+        self.arrive("a")
+        self.assertEqual((self.finals(), len(self.side.started)), ([Final.SERVED, Final.FAILED], 1))
+
+    def test_a_job_that_a_worker_cannot_use_fails_at_once_and_the_worker_is_not_blamed(self):
+        self.exchange.listed(self.side, api.ListForm.FULL, [Listed("w1")])
+        for n in range(3):
+            self.arrive(f"a{n}")
+            self.exchange.ended(self.side.started[-1], api.Outcome.ERROR, unusable=True)
+        self.assertEqual((self.finals(), len(self.side.started)), ([Final.FAILED] * 3, 3))
+        for n in range(3, 7):  # but one that finds fault with every job is ill
+            self.arrive(f"a{n}")
+            self.exchange.ended(self.side.started[-1], api.Outcome.ERROR, unusable=True)
+        self.arrive("b")
+        self.assertEqual(len(self.side.started), 7)
+
     def test_a_withdrawn_job_gets_no_answer_and_its_attempt_is_given_up(self):
         self.exchange.withdraw(self.arrive("a"))
         self.clock.run(20_000)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,11 +13,14 @@
 from pathlib import Path
 from unittest import mock
 
+import structlog
 from play import PATIENCE, SETTINGS, Peers, Stage, endpoint
 
 from millethead.config import ConfigError
 from millethead.decide.interface import WorkerState
 from millethead.exchange import Listed, Worker
+from millethead.logs import Sparing
+from millethead.net.accept import FAULTS
 from millethead.net.buffer import MOST, Buffer
 from millethead.net.discovery import BadList, Names
 from millethead.net.pool import Pool
@@ -257,13 +260,48 @@
                 names.entry({**good, **bad})
 
     async def test_a_slow_peer_is_told_so_and_closed(self):
-        with mock.patch("millethead.net.accept.READ_TIME", 0.05):
+        for said, answer in ((b"GET /up HTTP/1.1\r\nHo", b"HTTP/1.1 408 "), (b"", b"")):
             async with Stage() as stage:
-                reader, writer = await asyncio.open_connection("127.0.0.1", stage.port("client"))
-                writer.write(b"GET /up HTTP/1.1\r\nHo")
-                self.assertIn(b" 408 ", await asyncio.wait_for(reader.read(), PATIENCE))
+                with mock.patch("millethead.net.accept.FIRST_TIME", 0.05):
+                    reader, writer = await asyncio.open_connection("127.0.0.1", stage.port("client"))
+                    writer.write(said)
+                    got = await asyncio.wait_for(reader.read(), PATIENCE)
+                    self.assertEqual(got[:len(answer) or 1], answer)
+                    writer.close()
+
+    async def test_connections_that_say_nothing_make_room_before_idle_ones_of_usual_clients(self):
+        """Hundreds that only connect once pushed out idle clients, and one whose request was being read."""
+        async with Stage() as stage:
+            stage.program.acceptor.limit, port = 3, stage.port("client")
+            up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+            usual = await asyncio.open_connection("127.0.0.1", port)
+            usual[1].write(up)
+            self.assertTrue((await usual[0].readuntil(b"ready\n")).startswith(b"HTTP/1.1 200 "))
+            mute = [await asyncio.open_connection("127.0.0.1", port) for _ in range(9)]
+            for reader, _ in mute[:7]:
+                self.assertEqual(await asyncio.wait_for(reader.read(), PATIENCE), b"")
+            usual[1].write(up)
+            self.assertTrue((await usual[0].readuntil(b"ready\n")).startswith(b"HTTP/1.1 200 "))
+            for _, writer in (usual, *mute):
                 writer.close()
 
+    async def test_a_connection_that_asks_for_nothing_but_errors_ends(self):
+        async with Stage() as stage:
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.port("client"))
+            writer.write(b"GET /none HTTP/1.1\r\nHost: x\r\n\r\n" * (FAULTS + 5))
+            with suppress(ConnectionResetError):  # what it had sent beyond that is not read
+                got = await asyncio.wait_for(reader.read(), PATIENCE)
+                self.assertEqual(got.count(b"HTTP/1.1 404 "), FAULTS)
+            writer.close()
+
+    def test_log_lines_that_bad_clients_cause_are_bounded(self):
+        sparing = Sparing(most=2)
+        with mock.patch("millethead.logs.time.monotonic", side_effect=[1.0, 1.1, 1.2, 1.3, 2.0]), \
+                structlog.testing.capture_logs() as said:
+            for _ in range(5):
+                sparing.warning("x")
+        self.assertEqual([line.get("left_out") for line in said], [None, None, 2])
+
     async def test_a_start_time_of_the_list_is_a_time_of_the_modules_clock(self):
         """since_ms is Unix time: on another clock a cold worker would look warm, or cold for ever."""
         async with Stage() as stage:
