SIGTERM: answer all that is held before the platform may kill

Now the module hears of the end (`Closing`) and gives the last answers 0.1 s before the limit; /up says 503 at once, and usual clients are served on connections that are open. Ending sooner does not bring the node back sooner.

--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -111,7 +111,7 @@
         self.workers: dict[int, _Worker] = {}
         self.pools: dict[tuple[int, int, int], list[_Worker]] = {}
         self.jobs: dict[int, _Job] = {}
-        self.seq = 0
+        self.seq, self.closes = 0, inf
         self.shift = 0.0  # added to every stored global tag
         self.took = [c.deadline / 10 for c in settings.classes]  # running time by class, learned
         self.pace: dict[int, float] = {}  # running time by kind, relative to `took`
@@ -168,6 +168,12 @@
                 job = self.jobs.get(event.job)
                 if job is not None and not job.done:
                     self._finish(job, out)
+            case api.Closing(left=left):
+                self.closes = now + left
+                for job in self.jobs.values():
+                    if not job.done and self.closes < job.end < inf:
+                        job.end = self.closes
+                        out.append(api.SetTimer(job.id << 2 | DEADLINE, max(0.0, left - 2 * self.set.tick)))
             case api.AttemptStreaming():
                 job = self.jobs.get(event.job)
                 if job is not None:
@@ -257,7 +263,8 @@
         self._tag(job)
         self._wait(job)
         # one timer holds the final answer of every job, whatever else happens to it
-        out.append(api.SetTimer(e.job << 2 | DEADLINE, max(0.0, e.left - 2 * self.set.tick)))
+        job.end = min(job.end, self.closes)
+        out.append(api.SetTimer(e.job << 2 | DEADLINE, max(0.0, job.end - now - 2 * self.set.tick)))
         self._offer(job, out)
         self._sweep_later(out)
 
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -211,6 +211,13 @@
     job: int
 
 
+@dataclass(slots=True)
+class Closing:
+    """The node ends: whatever is held, and what still arrives, needs its final answer within `left`."""
+
+    left: float
+
+
 @dataclass(slots=True)
 class AttemptStreaming:
     job: int
@@ -263,7 +270,7 @@
     payload: bytes
 
 
-Event = (WorkerList | JobArrived | JobWithdrawn | AttemptStreaming | AttemptProgress | AttemptEnded
+Event = (WorkerList | JobArrived | JobWithdrawn | Closing | AttemptStreaming | AttemptProgress | AttemptEnded
          | ProbeEnded | TimerFired | PeerMessage)
 
 # ---- actions: what a node does, in the order given -------------------------------------------------
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from zlib import crc32
 
 import structlog
@@ -71,7 +72,8 @@
         self.roster: Roster | None = None
         self.finished: Callable[[Order, Answer | None, float, float], None] | None = None
         self.on_empty: Callable[[], None] | None = None
-        self.closing = False
+        self.closing = self.leaving = False
+        self.ends = float("inf")
         self._module = Balancer(settings, seed)
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -88,7 +90,7 @@
     @property
     def ready(self) -> bool:
         """Whether some worker is known to which work could go."""
-        return not self.closing and any(w.open for w in self._workers.values())
+        return not (self.closing or self.leaving) and any(w.open for w in self._workers.values())
 
     @property
     def held(self) -> int:
@@ -115,10 +117,11 @@
             return 0
         self._numbers += 1
         number = self._numbers
-        held = _Held(number, order, reply, now + order.left, now, Record(now, came=now))
+        end = min(now + order.left, self.ends)
+        held = _Held(number, order, reply, end, now, Record(now, came=now))
         self._jobs[number] = self._held_ids[name] = held
         self._bodies += len(order.body)
-        held.timer = self.clock.later(order.left + OVERDUE, lambda: self._overdue(held))
+        held.timer = self.clock.later(end - now + OVERDUE, lambda: self._overdue(held))
         self._feed(api.JobArrived(number, order.job_class, order.left, order.slots, order.memory,
                                   order.tenant, order.route_key, order.expected_work, order.repeat,
                                   order.fresh))
@@ -138,6 +141,17 @@
         self.settings = settings
         self._module.reconfigure(settings)
 
+    def close_by(self, left: float) -> None:
+        """Go on, but with everything answered in `left` ms, since the program may be killed after that."""
+        self.leaving, self.ends = True, self.clock.now() + left
+        for held in self._jobs.values():
+            if not held.closed and held.end > self.ends:
+                held.end = self.ends
+                if held.timer is not None:
+                    held.timer.cancel()
+                held.timer = self.clock.later(left + OVERDUE, partial(self._overdue, held))
+        self._feed(api.Closing(left))
+
     def close(self) -> None:
         """Take nothing more; `on_empty` is called when all that is held has its answer."""
         self.closing = True
--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -40,7 +40,7 @@
     def peer(self) -> tuple[str, int] | None:
         try:
             host, port, *_ = self.stream.socket.getpeername()
-        except OSError:
+        except (OSError, AttributeError):  # Tornado drops the socket of a closed stream
             return None
         return str(host), int(port)
 
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import threading
+import time
 from collections.abc import Callable
 
 import structlog
@@ -29,6 +30,9 @@
 
 log = structlog.get_logger()
 GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
+# ms after SIGTERM in which no SIGKILL comes: the longest deadline, or so much where it is longer, and more
+LONGEST, MORE = 3000.0, 700.0
+ANSWERED, TAKEN = 100.0, 800.0  # ms before that by which all is answered, and nothing is taken any more
 REPORT_NAMES = ("rif", "inflight", "q", "queue", "busy", "util", "x0", "x1")
 
 
@@ -63,6 +67,7 @@
                                   config.names("classes"))
             self.exchange.finished = self.flows.finished
         self.goes_on = GOES_ON
+        self._leaving: asyncio.Task[None] | None = None
         self.serving = asyncio.Event()
         self._ended = asyncio.Event()
 
@@ -82,6 +87,8 @@
         log.info("serving")
         self.serving.set()
         await self._ended.wait()
+        if self._leaving is not None:
+            self._leaving.cancel()
         await asyncio.sleep(0.05)  # the last answers are still being written
         self.acceptor.stop()
         if self.faktory is not None:
@@ -137,7 +144,19 @@
                 loop.remove_signal_handler(number)
                 signal.signal(number, signal.SIG_IGN)
         log.info("stopping", held=self.exchange.held)
-        loop.call_later(self.goes_on, self.drain)
+        alive = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + MORE
+        if self.faktory is None:
+            self.exchange.close_by(alive - ANSWERED)
+        self._leaving = loop.create_task(self._leave(alive - TAKEN))
+
+    async def _leave(self, taken: float) -> None:
+        """New clients go elsewhere, but usual ones use the connections they have while these stay open,
+        and have nobody else until this node is back: they are served while there is time."""
+        await asyncio.sleep(self.goes_on)
+        until = time.monotonic() + taken / 1000 - self.goes_on
+        while time.monotonic() < until and (self.acceptor.open or self.exchange.held):
+            await asyncio.sleep(0.05)
+        self.drain()
 
     def finish(self) -> None:
         """End at once, whatever is held."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -118,6 +118,18 @@
         self.arrive("b")
         self.assertEqual(len(self.side.started), 7)
 
+    def test_all_is_answered_before_the_program_may_be_killed(self):
+        """What SIGKILL found unanswered was lost: deadlines are up to 25 s, and the platform waits 3.7 s."""
+        self.arrive("a", 1)
+        self.clock.run(1500)
+        self.exchange.close_by(1000.0)
+        self.assertFalse(self.exchange.ready)
+        self.arrive("b")  # still taken, and not late for its short time
+        self.assertEqual(len(self.side.started), 2)
+        self.clock.run(2499)
+        self.assertEqual(self.finals(), [Final.FAILED, Final.REFUSED])
+        self.assertEqual(self.exchange.held, 0)
+
     def test_a_withdrawn_job_gets_no_answer_and_its_attempt_is_given_up(self):
         self.exchange.withdraw(self.arrive("a"))
         self.clock.run(20_000)
