Send each job over a connection of its own, and keep two a worker for probes

At fault: send.py `_try`, which took a kept connection for a job; probes.py `_ask`, where one broken kept connection made the worker look ill. Ruled out: a shorter idle limit (the resets come with the next request, whenever that is). Cost: a handshake a job, about 2 ms of a worker's time where a job takes a second.

--- a/millethead/net/pool.py
+++ b/millethead/net/pool.py
@@ -14,6 +14,7 @@
 
 Address = tuple[str, int]
 READ_BUFFER = 128 << 10
+KEPT = 2  # idle connections to one worker: they serve probes and cancels, and cost it some of its capacity
 
 
 class ConnectFailed(Exception):
@@ -46,9 +47,9 @@
             for conn in list(waiting):
                 conn.close()
 
-    async def take(self, address: Address) -> Connection:
+    async def take(self, address: Address, fresh: bool = False) -> Connection:
         """An idle connection, the one used last, or else a new one; raises ConnectFailed."""
-        waiting = self._idle.get(address, [])
+        waiting = [] if fresh else self._idle.get(address, [])
         while waiting:
             conn = waiting.pop()
             if time.monotonic() - conn.idle_since < self.idle_s and conn.quiet():
@@ -73,11 +74,11 @@
             raise ConnectFailed(str(error)) from None
 
     def give_back(self, address: Address, conn: Connection, keep: bool = True) -> None:
-        if not keep or not conn.quiet():
+        waiting = self._idle.setdefault(address, [])
+        if not keep or len(waiting) >= KEPT or not conn.quiet():
             conn.close()
             return
         conn.idle_since = time.monotonic()
-        waiting = self._idle.setdefault(address, [])
         waiting.append(conn)
 
         def gone() -> None:
--- a/millethead/net/probes.py
+++ b/millethead/net/probes.py
@@ -12,7 +12,7 @@
 from millethead.exchange.model import Worker
 from millethead.net.connection import Closed, Connection, Late, within
 from millethead.net.parse import BadMessage, Response, read_response
-from millethead.net.pool import ConnectFailed, Pool
+from millethead.net.pool import Address, ConnectFailed, Pool
 
 log = structlog.get_logger()
 PROBE_TIME = 0.5  # s: a worker that answers nothing should be noticed before many jobs are sent to it
@@ -65,10 +65,16 @@
     async def _ask(self, worker: Worker) -> Response:
         if worker.address is None:
             raise ConnectFailed
-        conn: Connection = await self.pool.take(worker.address)
+        try:
+            return await self._ask_on(await self.pool.take(worker.address), worker.address)
+        except Closed:
+            # the worker may have closed a kept connection at that moment: that says nothing of its health
+            return await self._ask_on(await self.pool.take(worker.address, fresh=True), worker.address)
+
+    async def _ask_on(self, conn: Connection, address: Address) -> Response:
         response = None
         try:
-            host, port = worker.address
+            host, port = address
             await conn.write(f"GET {self.path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode("latin-1"))
             response = await read_response(conn)
             return response
@@ -76,4 +82,4 @@
             if response is None:
                 conn.close()  # also when the time is up
             else:
-                self.pool.give_back(worker.address, conn, response.keep)
+                self.pool.give_back(address, conn, response.keep)
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -66,7 +66,9 @@
             self._end(attempt, Outcome.NEVER_SENT)
             return
         try:
-            conn = await self.pool.take(address)
+            # a kept connection that a worker closes or resets as a job is written says it may have run;
+            # a handshake costs a worker about 2 ms, a job a second: each job gets a new connection
+            conn = await self.pool.take(address, fresh=True)
         except PoolFull:
             log.error("pool_full", worker=attempt.worker.name)
             self._end(attempt, Outcome.NEVER_SENT)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -164,14 +164,17 @@
     async def work(self, worker, taken):
         """A worker that takes every job and says nothing more of it."""
         while True:
-            reader, writer = await worker.came.get()
-            with suppress(asyncio.IncompleteReadError):
-                while head := await reader.readuntil(b"\r\n\r\n"):
-                    if head.startswith(b"GET"):
-                        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=2")
-                    else:
-                        await taken.put(head.partition(b"X-Request-ID: ")[2].split(b"\r")[0])
-                        writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+            task = asyncio.create_task(self.serve(taken, *await worker.came.get()))
+            self.addCleanup(task.cancel)
+
+    async def serve(self, taken, reader, writer):
+        with suppress(asyncio.IncompleteReadError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                if head.startswith(b"GET"):
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=2")
+                else:
+                    await taken.put(head.partition(b"X-Request-ID: ")[2].split(b"\r")[0])
+                    writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
 
     async def play(self, program, port, taken):
         job = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: a{}\r\nX-Priority-Class: desk-search\r\n"
--- a/tests/test_send.py
+++ b/tests/test_send.py
@@ -5,6 +5,10 @@
 
 from millethead.decide.interface import Outcome, WorkerState
 from millethead.exchange import Attempt, Listed, Order, Worker
+from millethead.net.connection import Closed
+from millethead.net.parse import Response
+from millethead.net.pool import KEPT, ConnectFailed, Pool
+from millethead.net.probes import Probes
 from millethead.net.send import HttpWorkers
 
 ADDRESS = ("127.0.0.1", 9)
@@ -41,7 +45,7 @@
     async def test_nothing_is_sent_to_a_worker_that_began_to_drain_while_its_connection_came_up(self):
         conn = mock.Mock()
 
-        async def take(address):
+        async def take(address, fresh):
             self.worker.take(Listed("w", ADDRESS, state=WorkerState.DRAINING))
             return conn
 
@@ -51,6 +55,27 @@
         conn.write.assert_not_called()
         self.pool.give_back.assert_called_once_with(ADDRESS, conn)
 
+    async def test_a_probe_whose_kept_connection_was_closed_asks_once_more_on_a_new_one(self):
+        """A worker may close what stands idle at any moment; it looked ill for it, and got no work."""
+        pool, exchange = mock.Mock(), mock.Mock()
+        exchange.clock.now.return_value = 1.0
+        kept, new = mock.Mock(write=mock.AsyncMock(side_effect=Closed)), mock.Mock(write=mock.AsyncMock())
+        pool.take = mock.AsyncMock(side_effect=[kept, new])
+        with mock.patch("millethead.net.probes.read_response", return_value=Response(200, {}, b"x0=1")):
+            await Probes(exchange, pool, lambda text: text).probe(self.worker)
+        exchange.probed.assert_called_once_with(self.worker, Outcome.OK, 0.0, "x0=1")
+        self.assertEqual(pool.take.call_args.kwargs, {"fresh": True})
+
+    async def test_a_job_gets_a_connection_of_its_own_and_few_are_kept(self):
+        """A kept one that is reset as the job is written says that the job may have run."""
+        self.pool.take = mock.AsyncMock(side_effect=ConnectFailed)
+        await self.side._try(self.attempt())
+        self.pool.take.assert_called_once_with(ADDRESS, fresh=True)
+        pool, conns = Pool(9, 1000.0, 60_000.0), [mock.Mock() for _ in range(KEPT + 1)]
+        for conn in conns:
+            pool.give_back(ADDRESS, conn)
+        self.assertEqual([conn.close.called for conn in conns], [False] * KEPT + [True])
+
     async def test_a_cancel_is_not_told_of_an_id_that_is_at_the_worker_anew(self):
         old = self.attempt(whole=True)
         self.attempt()
