decide: let patience follow each job's hint, and worth decide within a tenant's turn

The design's points stand: tags alone decide between tenants, global service lowers local tags, reported slots the pick. A test of the homes waits 0.2 s longer, since patience is 0.8 of the stretch instead of 0.3.

--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -21,7 +21,8 @@
 IDLE_CREDIT = 2.0  # sigma: jobs' worth of global lag that a returning tenant keeps
 SWEEP = 4.0  # ticks to the first look at the waiting jobs; later looks come at longer intervals
 SWEEP_MOST = 16.0
-PATIENCE = 0.3  # part of a mean job's stretch that may be waited away: most jobs are shorter than the mean
+PATIENCE = 0.8  # part of a job's stretch that may be waited away: hints of running times are rough
+SOON = 500.0  # ms of patience left under which worth alone decides whose turn within a tenant it is
 LOOK = 16  # waiting jobs of one shape looked at for one that a worker is home to
 HOMES = 3  # workers that keep what a rarely asked key needs
 KEY_MEMORY = 4000  # jobs after which half the count of each key is forgotten
@@ -66,10 +67,10 @@
     """One job that still owes a final answer, or has attempts out."""
 
     __slots__ = ("id", "cls", "slots", "memory", "key", "flow", "shape", "seq", "local", "glob", "end",
-                 "late", "came", "waiting", "ticket", "done", "tries", "out", "ran", "group")
+                 "late", "own", "came", "waiting", "ticket", "done", "tries", "out", "ran", "group")
 
-    def __init__(self, e: api.JobArrived, flow: _Flow, seq: int, now: float) -> None:
-        self.id, self.cls, self.key, self.flow, self.seq = e.job, e.job_class, e.key, flow, seq
+    def __init__(self, e: api.JobArrived, flow: _Flow, seq: int, now: float, own: float) -> None:
+        self.id, self.cls, self.key, self.flow, self.seq, self.own = e.job, e.job_class, e.key, flow, seq, own
         self.end, self.came, self.late = now + e.left, now, inf
         # few shapes whatever numbers come: each costs a look at every release
         self.slots, self.memory = min(64, max(1, ceil(e.slots))), e.memory
@@ -92,7 +93,7 @@
         self.index, self.quota, self.reserve, self.weight = index, 0.0, 1e-9, 1.0
         self.local = self.glob = -inf
         self.lowered = 0.0
-        self.heaps: dict[tuple[int, int, int, int], list[tuple[int, int, _Job]]] = {}
+        self.heaps: dict[tuple[int, int, int, int], list[tuple[tuple[float, int], int, _Job]]] = {}
         self.waiting = 0
 
 
@@ -246,9 +247,9 @@
         now, cls = self.now, self.set.classes[e.job_class]
         flow = self.flows[e.tenant if e.tenant < len(self.flows) else 0]
         self.seq += 1
-        job = self.jobs[e.job] = _Job(e, flow, self.seq, now)
+        job = self.jobs[e.job] = _Job(e, flow, self.seq, now, e.expected_work or self.took[e.job_class])
         first = now if e.fresh else job.end - cls.deadline  # when its client began to wait
-        job.late = first + cls.aim + PATIENCE * (cls.stretch - 1) * self.took[job.cls]
+        job.late = first + cls.aim + PATIENCE * (cls.stretch - 1) * job.own
         self.slots += 0.01 * (job.slots - self.slots)
         if now > job.late and self.waiting:
             # a repeat that cannot be in time any more must not take a slot from one that can
@@ -282,7 +283,7 @@
         flow.local, flow.glob = job.local, job.glob
 
     @staticmethod
-    def _head(heap: list[tuple[int, int, _Job]]) -> _Job | None:
+    def _head(heap: list[tuple[tuple[float, int], int, _Job]]) -> _Job | None:
         while heap and heap[0][1] != heap[0][2].ticket:
             heappop(heap)
         return heap[0][2] if heap else None
@@ -293,7 +294,7 @@
         self.waiting += 1
         self.tickets += 1
         job.ticket = self.tickets  # an entry left over from an earlier wait must not come back to life
-        heappush(job.flow.heaps.setdefault(job.shape, []), (job.seq, job.ticket, job))
+        heappush(job.flow.heaps.setdefault(job.shape, []), ((job.late, job.seq), job.ticket, job))
 
     def _unwait(self, job: _Job) -> None:
         if job.waiting:
@@ -317,21 +318,30 @@
             best, rank = None, (2, 0.0)
             for flow in self.flows:
                 if flow.waiting:
-                    for shape, heap in flow.heaps.items():
-                        if shape[1] <= room and (job := self._first(heap, w)) is not None:
-                            local = job.local - flow.lowered
-                            r = (0, local) if local <= now else (1, job.glob)
-                            if r < rank:
-                                best, rank = job, r
+                    fit = [job for shape, heap in flow.heaps.items()
+                           if shape[1] <= room and (job := self._first(heap, w)) is not None]
+                    if fit:
+                        turn = min(fit, key=lambda j: j.local)
+                        local = turn.local - flow.lowered
+                        r = (0, local) if local <= now else (1, turn.glob)
+                        if r < rank:
+                            best, rank, first = min(fit, key=self._urgent), r, turn
             if best is None:
                 break
+            # the turn is the tenant's: the job that takes it leaves its own tags to the one that waits on
+            best.local, best.glob, first.local, first.glob = first.local, first.glob, best.local, best.glob
             if rank[0]:
                 best.flow.lowered += best.slots / self.slots / best.flow.reserve
             self._send(best, w, out)
             given, least = given + 1, 0.0
         return given
 
-    def _first(self, heap: list[tuple[int, int, _Job]], w: _Worker) -> _Job | None:
+    def _urgent(self, job: _Job) -> float:
+        """Of a tenant's first jobs of each shape the smallest takes its turn: patience left, over the worth
+        of a slot's time. In order of arrival, long jobs of little worth let those worth most go late."""
+        return (job.late - self.now + SOON) * self.took[job.cls] / max(self.set.classes[job.cls].worth, 1e-9)
+
+    def _first(self, heap: list[tuple[tuple[float, int], int, _Job]], w: _Worker) -> _Job | None:
         """The first waiting job of a shape that `w` may serve; where fetches cost, one that it is home to."""
         job = self._head(heap)
         if job is None or not self._fits(job, w) or not self._turn_ok(w, job):
@@ -612,9 +622,9 @@
             w.bad = w.fulls = 0
             self.trust = min(1.0, self.trust * 1.015)
             if not w.started or now > w.started + self.set.cold_time:
-                expected = self.took[job.cls] * self.pace.get(w.kind, 1.0)
+                expected = job.own * self.pace.get(w.kind, 1.0)
                 ratio = min(elapsed / expected, 10.0) if expected else 1.0
-                w.slow = max(0.3, w.slow + 0.1 * (ratio - w.slow))
+                w.slow = max(0.3, w.slow + 0.15 * (ratio - w.slow))
                 drift = 1 + 0.02 * (min(ratio, 3.0) - 1)
                 self.pace[w.kind] = max(0.2, min(5.0, self.pace.get(w.kind, 1.0) * drift))
                 self.took[job.cls] += 0.03 * (min(elapsed, 5 * self.took[job.cls]) - self.took[job.cls])
