decide: keep a class of jobs away from workers that swallow or delay it

A probe that printed each report beside the module's own attempts showed four workers that answered 202 to bookings and never ended one, while other classes were served and reports showed free slots: 6 own attempts out, 0.98 held by the worker's own word. So the emptiest looking workers drew the most. At fault: balance.py `_reported` and `_room`, which never compared own attempts with the jobs that a report says are held, and `_draw`, which gave the next booking to the same worker. Ruled out: lost call-backs (none was turned away or unknown), hung processes (probes answer). Now: own attempts missing from a new report, and overdue ones, keep their class away from that worker; bookings are spread; after an alarm, workers that lately ended such a job are preferred. Until the first report without it, one booking a worker and dispatcher cannot be saved.

--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -33,6 +33,8 @@
 NOTE = Struct("<BIB")  # what nodes tell each other: one of the four below, a worker, a number of slots
 ASK, LOAD, SENT, ENDED = range(4)
 NOTES_PRICE = 0.005  # what these may cost for a job, in the unit of the prices; a job takes about ten notes
+OVERDUE, GRACE = 2.0, 600.0  # hinted running times, and ms, after which an attempt is overdue
+SHUN, PROVEN, UNSEEN = 12_000.0, 2000.0, 600.0  # ms: how long, what proves health, how late reports may be
 ODD = 4  # jobs in a row that a worker calls unusable before that is held against the worker
 DEADLINE, SWEEPING, WATCHING, ASKED = 0, 1, 2, 3  # low bits of a timer token
 
@@ -42,7 +44,7 @@
 
     __slots__ = ("id", "zone", "kind", "cell", "salt", "open", "started", "free", "queued", "memory", "stamp",
                  "heard", "raw", "luck", "sent", "ended", "held", "slow", "bad", "avoid", "turn", "probing",
-                 "asked", "shy", "full", "fulls", "takes", "exact", "odd")
+                 "asked", "shy", "full", "fulls", "takes", "exact", "odd", "mine", "shun", "proof")
 
     def __init__(self, entry: api.WorkerEntry) -> None:
         self.id, self.zone, self.kind, self.cell = entry.worker, entry.zone, entry.kind, entry.cell
@@ -55,6 +57,9 @@
         self.free, self.stamp, self.heard = 1.0, -inf, -inf
         self.raw: tuple[float | None, ...] = ()
         self.sent: list[tuple[float, int, float]] = []  # own attempts in flight: (sent at, slots, memory)
+        self.mine: dict[int, tuple[float, float, _Job]] = {}  # own jobs here: (overdue from, sent at, it)
+        self.shun: dict[int, float] = {}  # classes that it seems to swallow: no such job until then
+        self.proof: dict[int, float] = {}  # when it last ended a job of a class well
         self.ended: list[tuple[float, float, int]] = []  # since the report: (ended, sent, slots)
         self.memory, self.queued = inf, 0.0
         self.held = 0.0
@@ -133,6 +138,7 @@
         self.keys: dict[int, float] = {}  # how often each key came lately
         self.keyed = 0.0
         self.homes: dict[tuple[int, int], list[_Worker]] = {}
+        self.alarm: dict[int, float] = {}  # when a class was last found swallowed somewhere
         self.look = SWEEP
         self.waiting = self.tickets = self.own = 0
         self.sweeping = self.watching = self.asked = False
@@ -358,6 +364,9 @@
             return False  # it waited on until its group may have forgotten the key
         if job.memory and w.memory < job.memory + sum(m for at, _, m in w.sent if at >= w.stamp):
             return False  # it would hold up the worker's queue until it fits
+        if self.now < w.shun.get(job.cls, -inf) or any(
+                due < self.now and job.cls == held.cls for due, _, held in w.mine.values()):
+            return False  # it takes such jobs and ends none, whatever its reports and other jobs say
         return (w.open and (kind is None or kind == w.kind) and (w.takes is None or job.cls in w.takes)
                 and (group < 0 or group == (w.zone if group < CELLS else w.cell + CELLS)))
 
@@ -369,6 +378,7 @@
         w.sent.append((now, job.slots, job.memory))
         w.held += job.slots
         self.own += job.slots
+        w.mine[job.id] = now + OVERDUE * job.own * self.pace.get(w.kind, 1.0) + GRACE, now, job
         if w.started and now < w.started + self.set.cold_time:
             w.turn = self._turn(w, now) + ceil(self._cost(job) / self.work) - 1
         out.append(api.Send(job.id, w.id))
@@ -429,16 +439,22 @@
                 out.append(api.Probe(w.id))
 
     def _draw(self, among: list[_Worker], job: _Job, stale: list[_Worker]) -> _Worker | None:
-        rooms, total, probes = [], 0.0, self.asks
+        rooms, total, probes, alarm = [], 0.0, self.asks, self.alarm.get(job.cls, -inf)
+        once = self.set.classes[job.cls].effect is Effect.UNSAFE
         for w in among:
-            if w.takes is not None and job.cls not in w.takes:
+            if not self._fits(job, w):
                 continue
             if probes and self._old(w):
                 # asked whatever the estimate says: else a node keeps to the slots it once found (burton-1)
                 if self.now > max(w.avoid, w.shy) and not w.probing and self.now - w.asked > self._stays():
                     stale.append(w)
             elif (room := self._room(w)) >= job.slots and self._turn_ok(w, job):
-                total += room / w.slow * (1.1 - self.busy.get(w.zone, 0.0))
+                weight = room / w.slow * (1.1 - self.busy.get(w.zone, 0.0))
+                if w.proof.get(job.cls, -inf) < alarm - PROVEN and self.now < alarm + SHUN:
+                    weight *= 0.05
+                if once:  # spread: one worker that swallows them must not get several before that shows
+                    weight /= 1 + 8 * sum(x.cls == job.cls for _, _, x in w.mine.values())
+                total += weight
                 rooms.append((total, w))
         if not rooms:
             return None
@@ -478,7 +494,18 @@
             return min(room, 1.0) if self.now - w.heard < rest else max(min(room, 1.0), 1.0 - w.held)
         return room
 
-    def _reported(self, w: _Worker, report: api.Report | None) -> None:
+    def _missed(self, w: _Worker, held: float, out: list[api.Action]) -> None:
+        """Compare own attempts, older than any report, with what the worker says it holds: what is not there
+        has been swallowed, though the worker shows free slots and ends jobs of other classes."""
+        since = self.now - self.period - UNSEEN
+        old = sorted((x for x in w.mine.values() if x[1] < since), key=lambda x: x[:2])
+        for _, _, job in old[:max(0, len(old) - round(held))]:
+            w.shun[job.cls] = self.now + SHUN
+            self.alarm[job.cls] = self.now
+            if self.set.classes[job.cls].effect is Effect.SAFE and self.set.may_cancel:
+                out += [api.CancelAttempt(job.id, n) for n, (x, _) in job.out.items() if x is w]
+
+    def _reported(self, w: _Worker, report: api.Report | None, out: list[api.Action]) -> None:
         now = self.now
         if report is None or report.free_slots is None:
             return
@@ -490,6 +517,8 @@
             return
         self.period *= 0.999
         w.raw = raw
+        if report.held is not None:
+            self._missed(w, report.held, out)
         # below 0 where jobs queue at the worker: they must end before a slot is free again
         w.queued = report.queued or 0.0
         w.free = report.free_slots - w.queued
@@ -589,6 +618,7 @@
         if job is None or e.attempt not in job.out:
             return
         w, sent = job.out.pop(e.attempt)
+        w.mine.pop(job.id, None)
         if (sent, job.slots, job.memory) in w.sent:
             w.sent.remove((sent, job.slots, job.memory))
             w.held -= job.slots
@@ -599,7 +629,7 @@
         w.odd = w.odd + 1 if e.unusable else 0
         if w.odd > ODD or not e.unusable:
             self._judge(w, job, e.outcome, e.elapsed)
-        self._reported(w, e.report)
+        self._reported(w, e.report, out)
         if e.final and not job.done:
             job.done = True
             self._unwait(job)
@@ -620,6 +650,8 @@
         now = self.now
         if outcome is Outcome.OK:
             w.bad = w.fulls = 0
+            w.proof[job.cls] = now
+            w.shun.pop(job.cls, None)
             self.trust = min(1.0, self.trust * 1.015)
             if not w.started or now > w.started + self.set.cold_time:
                 expected = job.own * self.pace.get(w.kind, 1.0)
@@ -684,7 +716,7 @@
             return
         w.probing, w.asked = False, self.now
         if e.outcome is Outcome.OK:
-            self._reported(w, e.report)
+            self._reported(w, e.report, out)
             self._release(w, out)
         elif e.outcome is not Outcome.FULL:  # one that takes no more probes is busy with them, not ill
             w.bad += 1
--- a/tests/test_incidents.py
+++ b/tests/test_incidents.py
@@ -249,3 +249,54 @@
     node.job(3, job_class=1)
     node.end(1, 0, api.Outcome.OK, free=1.0)
     assert [job for _, job, _ in node.sends] == [1, 3]
+
+
+def probed(node, worker, free, held):
+    """A report from another moment each time: no two are alike."""
+    node.now += 1.0
+    report = api.Report(free_slots=free + node.now / 1e7, held=held)
+    node.give(api.ProbeEnded(worker, api.Outcome.OK, 2.0, report))
+
+
+def test_a_worker_that_swallows_one_class_gets_no_more_of_it():
+    """wide: four workers took bookings and ended none, while reports showed free slots; 14 were lost."""
+    cls = api.JobClass(deadline=15_000, aim=9000, worth=10.0)
+    node = Node(api.Settings(classes=(cls, SAFE), may_probe=True, reports_in_probes=True))
+    node.list(*workers(1))
+    probed(node, 1, 2.0, 0.0)
+    node.job(1, expected_work=300.0)
+    node.job(2, expected_work=300.0)
+    assert node.sent_to(1) == node.sent_to(2) == [1]
+    node.until(node.now + 700)
+    probed(node, 1, 2.0, 0.0)  # it holds neither, and nobody else's
+    node.job(3, expected_work=300.0)
+    node.job(4, job_class=1)
+    assert (node.sent_to(3), node.sent_to(4)) == ([], [1])  # other classes still go there
+
+
+def test_an_overdue_attempt_keeps_others_of_its_class_away():
+    cls = api.JobClass(deadline=15_000, aim=9000)
+    node = Node(api.Settings(classes=(cls,), reports_in_answers=True))
+    node.list(*workers(2))
+    node.job(1, expected_work=300.0)
+    ill = node.sent_to(1)[0]
+    node.until(node.now + 1300)
+    for number in range(2, 12):
+        node.job(number, expected_work=300.0)
+        if node.sent_to(number):
+            node.end(number, 0, free=1.0)
+    assert ill not in {w for _, job, w in node.sends if job > 1} and len(node.sends) == 11
+
+
+def test_what_must_not_run_twice_is_spread():
+    cls = api.JobClass(deadline=15_000, aim=9000)
+    twice = 0
+    for seed in range(40):
+        node = Node(api.Settings(classes=(cls,), may_probe=True, reports_in_probes=True), seed=seed)
+        node.list(*workers(2))
+        for worker in (1, 2):
+            probed(node, worker, 4.0, 0.0)
+        node.job(1)
+        node.job(2)
+        twice += node.sent_to(1) == node.sent_to(2)
+    assert twice < 10  # 18 where only the room counts
