Hold a job's last byte back 4 ms, and try a connection that fails at once again

Since the whole job had been written, it might have run, and could not go elsewhere. New connections that were reset as they came up kept their worker avoided for 1 to 3 s. At fault: send.py `_try`, which wrote all at once; pool.py `take`, which gave up after one refusal. Ruled out: kept connections (each job has its own). Proof from acknowledged bytes is no use: the peer's system acknowledges what the worker has not read. A worker begins with the last byte, so a connection that breaks before it never ran the job: it counts as could not connect, and may go to another worker even if it must not run twice. A refused or reset connection attempt sent nothing and is made once more.

--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -97,5 +97,14 @@
             return False
         return False
 
+    def broken(self) -> bool:
+        """Whether the peer has closed or reset the connection; bytes that came are no sign of that."""
+        try:
+            return self.stream.closed() or not self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def close(self) -> None:
         self.stream.close()
--- a/millethead/net/pool.py
+++ b/millethead/net/pool.py
@@ -14,6 +14,7 @@
 
 Address = tuple[str, int]
 READ_BUFFER = 128 << 10
+AGAIN = 0.1  # s within which a connection that failed to come up is tried once more
 KEPT = 2  # idle connections to one worker: they serve probes and cancels, and cost it some of its capacity
 
 
@@ -49,7 +50,7 @@
 
     async def take(self, address: Address, fresh: bool = False) -> Connection:
         """An idle connection, the one used last, or else a new one; raises ConnectFailed."""
-        waiting = [] if fresh else self._idle.get(address, [])
+        began, waiting = time.monotonic(), [] if fresh else self._idle.get(address, [])
         while waiting:
             conn = waiting.pop()
             if time.monotonic() - conn.idle_since < self.idle_s and conn.quiet():
@@ -58,7 +59,13 @@
             conn.close()
         if self.open >= self.limit and not self._evict():
             raise PoolFull
-        return await self._connect(address)
+        try:
+            return await self._connect(address)
+        except ConnectFailed:
+            # reset as it came up, not for its time: nothing was sent, and the next one may be taken
+            if time.monotonic() - began > AGAIN:
+                raise
+            return await self._connect(address)
 
     async def _connect(self, address: Address) -> Connection:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import structlog
@@ -16,6 +17,7 @@
 from millethead.net.probes import Probes
 
 log = structlog.get_logger()
+HOLD = 0.004  # s that the last byte of a job waits
 DELETE_TIME = 2.0  # s
 DELETES = 64  # at once; more are dropped, since the worker's own limit ends the job as well
 TAKEN_LATE = 5.0  # s for an answer that no attempt waits for any more
@@ -84,7 +86,14 @@
         attempt.channel = conn
         try:
             left = attempt.end - self.exchange.clock.now()
-            await within(left / 1000, conn.write(format_attempt(attempt, left)))
+            message = format_attempt(attempt, left)
+            # a worker begins with the last byte: held back for a moment, it shows a connection that is reset
+            # as the job comes, which so never ran, and may go elsewhere even if it must not run twice
+            await within(left / 1000, conn.write(message[:-1]))
+            await asyncio.sleep(HOLD)
+            if conn.broken():
+                raise Closed
+            await within(left / 1000, conn.write(message[-1:]))
         except (Closed, Late):
             conn.close()
             self._end(attempt, Outcome.CONNECT_FAILED)  # broke before its last byte: never ran
--- a/tests/test_send.py
+++ b/tests/test_send.py
@@ -76,6 +76,28 @@
             pool.give_back(ADDRESS, conn)
         self.assertEqual([conn.close.called for conn in conns], [False] * KEPT + [True])
 
+    async def test_a_connection_reset_as_the_job_comes_proves_that_it_never_ran(self):
+        """Written at once, the job may have run for all that is known, and a booking failed for it."""
+        conn = mock.Mock(write=mock.AsyncMock(), **{"broken.return_value": True})
+        self.exchange.clock.now.return_value = 0.0
+        self.pool.take = mock.AsyncMock(return_value=conn)
+        made = self.attempt()
+        await self.side._try(made)
+        self.assertEqual((self.outcomes(), made.whole), ([Outcome.CONNECT_FAILED], False))
+        (written,) = conn.write.call_args_list
+        self.assertEqual(written.args[0][-3:], b"\r\n\r")
+
+    async def test_a_connection_that_fails_as_it_comes_up_is_tried_once_more(self):
+        pool, conn = Pool(9, 1000.0, 60_000.0), mock.Mock()
+        for ends, wants in (([ConnectFailed, conn], conn), ([ConnectFailed, ConnectFailed], None)):
+            with mock.patch.object(pool, "_connect", side_effect=ends) as connect:
+                if wants is None:
+                    with self.assertRaises(ConnectFailed):
+                        await pool.take(ADDRESS, fresh=True)
+                else:
+                    self.assertIs(await pool.take(ADDRESS, fresh=True), wants)
+                self.assertEqual(connect.call_count, 2)
+
     async def test_a_cancel_is_not_told_of_an_id_that_is_at_the_worker_anew(self):
         old = self.attempt(whole=True)
         self.attempt()
