--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: build check lint test run clean
+.PHONY: build check lint test wheel-check run clean
 
 build: $(BIN)/millethead
 
@@ -20,8 +20,18 @@
 test: build
 	$(BIN)/pytest
 
+# builds the wheel (from a copy: what an earlier build left in the tree would be packed too), installs it in an environment of its own and starts it from there, outside the checkout
+wheel-check: build
+	rm -rf $(VENV)/wheel && mkdir -p $(VENV)/wheel/source
+	git ls-files -co --exclude-standard millethead pyproject.toml README.md LICENSE | \
+		tar -cf - -T - | tar -xf - -C $(VENV)/wheel/source
+	$(BIN)/python -m pip -q wheel --no-deps -w $(VENV)/wheel/dist $(VENV)/wheel/source
+	python3 -m venv $(VENV)/wheel/venv
+	$(VENV)/wheel/venv/bin/python -m pip -q install $(VENV)/wheel/dist/*.whl
+	$(BIN)/python tests/installed.py $(VENV)/wheel/venv/bin/millethead
+
 run: build
 	$(BIN)/millethead serve
 
 clean:
-	rm -rf $(VENV) .mypy_cache .pytest_cache .ruff_cache
+	rm -rf build $(VENV) .mypy_cache .pytest_cache .ruff_cache
