Put a seam of stages before the exchange; a waiting room stands there if set up

Need: jobs that wait for a time, for others or for their turn need a place between the fronts and the exchange, and so will later parts; tables of the operator's file were checked by hand, each in its own way. Change: exchange/stage.py is what fronts see (arrive, arrive_all, withdraw, amend, record, counts, reconfigure, leave, close); the exchange is the last stage, program.py alone composes them. An order may carry a plan; the exchange says that it takes none, and fronts word that as 400 or -ERR. The tables are msgspec records, each with its owner; what is not set up is not imported. millethead/waiting holds the book (decisions, no I/O), its calendar, ageing and the room that gives it a clock. MUTATE (clear, discard, requeue) withdraws or hastens what waits.

--- a/millethead/cli.py
+++ b/millethead/cli.py
@@ -12,7 +12,8 @@
   version  Print the version.
 
 Options:
-  --operator=FILE    Sets up the Faktory front and the flow export; MILLETHEAD_OPERATOR names it as well.
+  --operator=FILE    Sets up what is off without it (Faktory, flow export, waiting); MILLETHEAD_OPERATOR
+                     names it as well.
   --log-level=LEVEL  debug, info, warning or error [default: info].
   -h --help          Show this text.
 """
@@ -45,6 +46,8 @@
         operator = load_operator(path, config.names("classes"), config.names("azs")) if path else Operator()
         if args["check"]:
             print(f"{config.name}: the configuration can be used")
+            for line in in_force(config, operator):
+                print(line)
             return 0
         set_up(args["--log-level"], config.name)
         asyncio.run(_serve(config, operator))
@@ -54,5 +57,25 @@
     return 0
 
 
+def in_force(config: Config, operator: Operator) -> list[str]:
+    """What an operator's file has set up, with the bounds that hold."""
+    lines = []
+    if operator.faktory is not None:
+        lines.append("faktory: {0}:{1}, {connections} connections".format(
+            *operator.faktory.listen, connections=operator.faktory.connections))
+    if operator.flows is not None:
+        lines.append("ipfix: to {}:{}".format(*operator.flows.collector))
+    waiting = operator.waiting
+    if waiting is not None:
+        lines.append(f"waiting: {waiting.jobs} jobs, {waiting.bytes} bytes, {waiting.edges} edges, set times up to "
+                     f"{waiting.horizon_s:g} s ahead, {waiting.aged_rate:g} aged starts a second for all")
+        for name, known in zip(config.names("classes"), config.settings.classes, strict=True):
+            bound = waiting.classes.get(name)
+            lines.append(f"waiting.classes.{name}: " + (
+                f"answered within {bound.bound_s:g} s of being due, refused ones wait on" if bound is not None
+                else f"answered within {known.deadline / 1000:g} s of being due, refused ones are not kept"))
+    return lines
+
+
 async def _serve(config: Config, operator: Operator) -> None:
     await Program(config, operator).run()
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
 from functools import partial
 from zlib import crc32
 
@@ -29,10 +29,10 @@
     ServerSide,
     Worker,
 )
+from millethead.exchange.records import WITHDRAWN, Record, Records
+from millethead.exchange.stage import Amendment, Finished, Reply, Unusable
 from millethead.logs import Sparing
 
-KEPT = 32768  # outcomes remembered
-KEPT_FOR = 600_000.0  # ms that an outcome is remembered
 HELD = 4096  # jobs held at once; the sockets bound them further
 BODIES = 32 << 20  # bytes of all bodies held
 OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
@@ -41,22 +41,11 @@
 sparing_log = Sparing()
 
 
-@dataclass(slots=True)
-class Record:
-    """A job's outcome, kept for a bounded time."""
-
-    at: float
-    final: Final | None = None
-    may_have_run: bool = False
-    came: float = 0.0
-    attempts: int = 0
-
-
 @dataclass(slots=True)
 class _Held:
     number: int
     order: Order
-    reply: Callable[[Answer], None] | None
+    reply: Reply | None
     end: float
     came: float
     record: Record
@@ -67,20 +56,24 @@
 
 
 class Exchange:
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
-        self.settings, self.clock = settings, clock
+    """The last stage. `flows` are put behind those of the tenants, for stages that hold jobs back (`Order.flow`
+    counts from 0 through both)."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock,
+                 flows: tuple[api.Tenant, ...] = ()) -> None:
+        self.settings, self.clock, self.flows = settings, clock, flows
         self.roster: Roster | None = None
-        self.finished: Callable[[Order, Answer | None, float, float], None] | None = None
-        self.on_empty: Callable[[], None] | None = None
+        self.finished: Finished | None = None
+        self._on_empty: Callable[[], None] | None = None
         self.closing = self.leaving = False
         self.ends = float("inf")
-        self._module = Balancer(settings, seed)
+        self._module = Balancer(self._with_flows(settings), seed)
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._jobs: dict[int, _Held] = {}
         self._numbers = 0
         self._bodies = 0
-        self._records: OrderedDict[tuple[str, str], Record] = OrderedDict()
+        self._records = Records()
         self._held_ids: dict[tuple[str, str], _Held] = {}
         self._workers: dict[int, Worker] = {}
         self._names: dict[str, Worker] = {}
@@ -102,10 +95,16 @@
         held = self._held_ids.get((origin, job_id))
         return held.record if held is not None else self._records.get((origin, job_id))
 
-    def arrive(self, order: Order, reply: Callable[[Answer], None]) -> int:
+    def counts(self) -> dict[str, int]:
+        return {}
+
+    def arrive(self, order: Order, reply: Reply) -> int:
         """Take a job in; `reply` is called once with its final answer unless it is withdrawn first."""
         now, name = self.clock.now(), (order.origin, order.id)
-        if self.record(*name) is not None:
+        if order.plan is not None and (order.plan.after or order.plan.at > now):
+            raise Unusable("jobs for a later time, or after others, are not taken here")
+        known = self.record(*name)
+        if known is not None and not (order.again and known.final is Final.REFUSED):
             # ids are never reused, a client's retry included: this is the same job again, which could charge
             # twice, or somebody else's under its name, which workers turn away
             sparing_log.warning("job_id_repeated", job=order.id)
@@ -123,10 +122,22 @@
         self._bodies += len(order.body)
         held.timer = self.clock.later(end - now + OVERDUE, lambda: self._overdue(held))
         self._feed(api.JobArrived(number, order.job_class, order.left, order.slots, order.memory,
-                                  order.tenant, order.route_key, order.expected_work, order.repeat,
-                                  order.fresh))
+                                  order.tenant if order.flow is None else order.flow, order.route_key,
+                                  order.expected_work, order.repeat, order.fresh))
         return number
 
+    def arrive_all(self, orders: Sequence[tuple[Order, Reply]]) -> list[int | Unusable]:
+        out: list[int | Unusable] = []
+        for order, reply in orders:
+            try:
+                out.append(self.arrive(order, reply))
+            except Unusable as why:
+                out.append(why)
+        return out
+
+    def amend(self, amendment: Amendment) -> None:
+        """Nothing is held back here: a job waits for a worker, or has started."""
+
     def withdraw(self, number: int) -> None:
         """The client is gone: nothing more is owed."""
         held = self._jobs.get(number)
@@ -139,10 +150,17 @@
     def reconfigure(self, settings: api.Settings) -> None:
         """New figures for the same classes and tenants; what is held keeps the deadline it came with."""
         self.settings = settings
-        self._module.reconfigure(settings)
+        self._module.reconfigure(self._with_flows(settings))
 
-    def close_by(self, left: float) -> None:
+    def _with_flows(self, settings: api.Settings) -> api.Settings:
+        if not self.flows:
+            return settings
+        return replace(settings, tenants=(settings.tenants or (api.Tenant(),)) + self.flows)
+
+    def leave(self, left: float | None) -> None:
         """Go on, but with everything answered in `left` ms, since the program may be killed after that."""
+        if left is None:
+            return
         self.leaving, self.ends = True, self.clock.now() + left
         for held in self._jobs.values():
             if not held.closed and held.end > self.ends:
@@ -152,9 +170,9 @@
                 held.timer = self.clock.later(left + OVERDUE, partial(self._overdue, held))
         self._feed(api.Closing(left))
 
-    def close(self) -> None:
-        """Take nothing more; `on_empty` is called when all that is held has its answer."""
-        self.closing = True
+    def close(self, empty: Callable[[], None]) -> None:
+        """Take nothing more; `empty` is called when all that is held has its answer."""
+        self.closing, self._on_empty = True, empty
         self._empty()
 
     # ---- server side -------------------------------------------------------------------------------
@@ -318,13 +336,10 @@
         name = held.order.origin, held.order.id
         del self._held_ids[name]
         now = self.clock.now()
-        held.record.at, held.record.final = now, answer.final if answer is not None else None
-        held.record.may_have_run |= held.out > 0
-        self._records[name] = held.record
-        self._records.move_to_end(name)
-        while self._records and (len(self._records) > KEPT
-                                 or next(iter(self._records.values())).at < now - KEPT_FOR):
-            self._records.popitem(last=False)
+        record = held.record
+        record.at, record.ended, record.may_have_run = now, True, record.may_have_run or held.out > 0
+        record.final, record.state = (answer.final, "") if answer is not None else (None, WITHDRAWN)
+        self._records.put(name, record, now)
         if answer is not None:
             if answer.final is not Final.SERVED:
                 log.info("job_" + answer.final.value, job=held.order.id, attempts=len(held.attempts),
@@ -347,8 +362,8 @@
             self._feed(api.JobWithdrawn(held.number))
 
     def _empty(self) -> None:
-        if self.closing and not self._held_ids and self.on_empty is not None:
-            call, self.on_empty = self.on_empty, None
+        if self.closing and not self._held_ids and self._on_empty is not None:
+            call, self._on_empty = self._on_empty, None
             call()
 
     # ---- workers -----------------------------------------------------------------------------------
--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -27,10 +27,24 @@
     pause: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """When a job may run: not before `at` (Unix time in ms by the wall clock, 0: at once), and only after the
+    jobs named in `after` have ended: served, or in any way if `any_end`."""
+
+    at: float = 0.0
+    after: tuple[str, ...] = ()
+    any_end: bool = False
+
+
 @dataclass(slots=True, frozen=True)
 class Order:
     """One job as a client handed it in. The core does not read its content: `target`, `body`, and how its
-    client names its type and queue."""
+    client names its type and queue.
+
+    `left` is the longest that it may take once it can run (ms), `asked` what its client itself allows, `waits`
+    that the client counts that from now on and not from when the job is due. `flow`: the flow of the module
+    that it waits in, if not its tenant's. `again`: it was refused before, and a stage hands it in once more."""
 
     id: str
     job_class: int
@@ -50,6 +64,11 @@
     reserve: float = float("inf")  # ms that one worker may hold it
     origin: str = ""
     peer: tuple[str, int] | None = None
+    asked: float = float("inf")
+    waits: bool = False
+    plan: Plan | None = None
+    flow: int | None = None
+    again: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -131,5 +150,5 @@
     def ask(self) -> None: ...
 
 
-__all__ = ["Answer", "Attempt", "Cancellable", "Clock", "Final", "ListForm", "Listed", "Order", "Outcome",
+__all__ = ["Answer", "Attempt", "Cancellable", "Clock", "Final", "ListForm", "Listed", "Order", "Outcome", "Plan",
            "Report", "Roster", "ServerSide", "Worker", "WorkerState"]
--- a/millethead/flows/ipfix.py
+++ b/millethead/flows/ipfix.py
@@ -13,7 +13,7 @@
 import structlog
 
 from millethead.exchange.model import Answer, Final, Order
-from millethead.operators import FlowSetup
+from millethead.flows.setup import FlowSetup
 
 log = structlog.get_logger()
 VERSION, TEMPLATE_SET = 10, 2
--- a/millethead/fronts/faktory/jobs.py
+++ b/millethead/fronts/faktory/jobs.py
@@ -5,18 +5,19 @@
 import base64
 import json
 import re
-import time
-from datetime import datetime
+from math import inf
 from typing import Any
 
-from millethead.exchange.model import Attempt, Order
+from millethead.exchange.model import Attempt, Order, Plan
 from millethead.fronts.faktory.resp import BadCommand
+from millethead.fronts.faktory.setup import FaktorySetup
+from millethead.fronts.times import read_rfc3339
 from millethead.net.parse import BODY
-from millethead.operators import FaktorySetup
 
 ORIGIN = "faktory"
 RESERVE = 1800.0  # s, the protocol's default
 TARGET = "/api"
+PARENTS = 64  # jids in custom.after
 _JID = re.compile(r"[0-9A-Za-z_-]{8,64}")
 
 
@@ -48,10 +49,8 @@
         tenant = self.tenants.get(str(custom.get("tenant")), 0 if not self.tenants else None)
         if tenant is None:
             raise BadCommand("custom.tenant: unknown")
-        if job.get("at") and _unix(job["at"]) > time.time():
-            raise BadCommand("jobs for a later time are not taken")
         number = self.classes[name]
-        timeout = _seconds(custom.get("timeout"), self.deadlines[number] / 1000, "custom.timeout")
+        timeout = _seconds(custom.get("timeout"), inf, "custom.timeout")
         body = json.dumps(args, separators=(",", ":")).encode()
         if len(body) > BODY:
             raise BadCommand("args are over 64 KiB")
@@ -60,7 +59,8 @@
             raise BadCommand("custom.key: 1 to 128 printable characters are wanted")
         return Order(jid, number, min(timeout * 1000, self.deadlines[number]), tenant, TARGET, body, key,
                      fresh=True, jobtype=jobtype, queue=queue, origin=ORIGIN, peer=peer,
-                     reserve=1000 * _seconds(job.get("reserve_for"), RESERVE, "reserve_for"))
+                     reserve=1000 * _seconds(job.get("reserve_for"), RESERVE, "reserve_for"),
+                     asked=timeout * 1000, plan=_plan(job.get("at"), custom))
 
     def fetched(self, attempt: Attempt, now: float) -> dict[str, Any]:
         """The job as a worker gets it, whichever front it came by."""
@@ -95,8 +95,18 @@
     return float(raw)
 
 
-def _unix(raw: Any) -> float:
+def _plan(at: Any, custom: dict[str, Any]) -> Plan | None:
+    """What `at`, custom.after and custom.when_parent_fails ask for; None without them."""
+    after, fails = custom.get("after"), custom.get("when_parent_fails")
+    if not at and after is None and fails is None:
+        return None
+    if fails not in (None, "fail", "run"):
+        raise BadCommand("custom.when_parent_fails: run or fail is wanted")
+    after = [] if after is None else after
+    if not isinstance(after, list) or len(after) > PARENTS or not all(
+            isinstance(parent, str) and 0 < len(parent) <= 128 for parent in after):
+        raise BadCommand(f"custom.after: a list of up to {PARENTS} jids is wanted")
     try:
-        return datetime.fromisoformat(str(raw)).timestamp()
-    except (ValueError, OverflowError):
-        raise BadCommand("at: a time is wanted") from None
+        return Plan(read_rfc3339(str(at)) if at else 0.0, tuple(dict.fromkeys(after)), fails == "run")
+    except ValueError as error:
+        raise BadCommand(f"at: {error}") from None
--- a/millethead/fronts/faktory/session.py
+++ b/millethead/fronts/faktory/session.py
@@ -14,8 +14,9 @@
 
 from millethead import __version__
 from millethead.decide.interface import Outcome
-from millethead.exchange.core import Exchange, Record
-from millethead.exchange.model import Final
+from millethead.exchange.model import Answer, Final, Order
+from millethead.exchange.records import Record
+from millethead.exchange.stage import Amendment, Stage, Unusable
 from millethead.fronts.faktory import resp
 from millethead.fronts.faktory.jobs import ORIGIN, Jobs, read_jid
 from millethead.fronts.faktory.workers import FaktoryWorkers, Process
@@ -28,6 +29,7 @@
 FETCH_TIME = 2.0  # s that a FETCH waits, as the protocol has it
 IDLE_TIME = 900.0  # s: clients keep their connections in pools
 BULK = 1000  # jobs in one PUSHB
+TARGETS = ("scheduled", "waiting", "aged")  # the protocol's set of set times, and the two that we add
 
 
 def password_hash(password: str, salt: str, rounds: int) -> str:
@@ -38,9 +40,9 @@
 
 
 class FaktoryServer(Server):
-    def __init__(self, exchange: Exchange, jobs: Jobs, workers: FaktoryWorkers, limit: int) -> None:
+    def __init__(self, stage: Stage, jobs: Jobs, workers: FaktoryWorkers, limit: int) -> None:
         super().__init__(limit)
-        self.exchange, self.jobs, self.workers = exchange, jobs, workers
+        self.stage, self.jobs, self.workers = stage, jobs, workers
 
     async def talk(self, conn: Connection) -> None:
         session = Session(self, conn)
@@ -53,11 +55,13 @@
 class Session:
     def __init__(self, server: FaktoryServer, conn: Connection) -> None:
         self.server, self.conn = server, conn
-        self.exchange, self.jobs, self.workers = server.exchange, server.jobs, server.workers
+        self.stage, self.jobs, self.workers = server.stage, server.jobs, server.workers
+        self.peer = conn.peer
         self.process: Process | None = None
         self.commands: dict[str, Callable[[str], Awaitable[bytes]]] = {
             "PUSH": self.push, "PUSHB": self.push_bulk, "FETCH": self.fetch, "ACK": self.ack,
-            "FAIL": self.fail, "BEAT": self.beat, "INFO": self.info, "TRACK": self.track}
+            "FAIL": self.fail, "BEAT": self.beat, "INFO": self.info, "TRACK": self.track,
+            "MUTATE": self.mutate}
 
     async def run(self) -> None:
         if not await self.greet():
@@ -134,42 +138,71 @@
 
     # ---- clients -------------------------------------------------------------------------------------
 
-    def accept(self, job: Any) -> None:
-        """Take one job in; raises BadCommand if it is not accepted. A jid seen before is the same job."""
+    def order(self, job: Any) -> Order | None:
+        """The order that a job means; None for a jid that is known, which is the same job."""
         if not isinstance(job, dict):
             raise resp.BadCommand("an object is wanted")
-        if self.exchange.record(ORIGIN, read_jid(job)) is not None:
-            return
-        if not self.exchange.arrive(self.jobs.order(job, self.conn.peer), lambda answer: None):
-            raise resp.BadCommand("not accepted now: too much is held, or this dispatcher is stopping")
+        if self.stage.record(ORIGIN, read_jid(job)) is not None:
+            return None
+        return self.jobs.order(job, self.peer)
 
     async def push(self, rest: str) -> bytes:
-        self.accept(resp.read_object(rest))
+        order = self.order(resp.read_object(rest))
+        if order is not None:
+            try:
+                number: int | Unusable = self.stage.arrive(order, _unheard)
+            except Unusable as why:
+                number = why
+            self.accepted(order, number)
         return resp.simple("OK")
 
+    def accepted(self, order: Order, number: int | Unusable) -> None:
+        """Raises BadCommand if a job was not taken. One that had its answer at once, and is known, was."""
+        if isinstance(number, Unusable):
+            raise resp.BadCommand(str(number))
+        if not number and self.stage.record(ORIGIN, order.id) is None:
+            raise resp.BadCommand("not accepted now: too much is held, or this dispatcher is stopping")
+
     async def push_bulk(self, rest: str) -> bytes:
         jobs = resp.read_json(rest)
         if not isinstance(jobs, list) or len(jobs) > BULK:
             raise resp.BadCommand(f"a list of {BULK} jobs at most is wanted")
         failed: dict[str, str] = {}
+        orders: dict[str, Order] = {}  # a jid that comes twice in one list is the same job
         for n, job in enumerate(jobs):
             try:
-                self.accept(job)
+                order = self.order(job)
+                if order is not None:
+                    orders.setdefault(order.id, order)
             except resp.BadCommand as bad:
                 jid = job.get("jid") if isinstance(job, dict) else None
                 failed[jid if isinstance(jid, str) else f"#{n}"] = str(bad)
+        numbers = self.stage.arrive_all([(order, _unheard) for order in orders.values()])
+        for order, number in zip(orders.values(), numbers, strict=True):
+            try:
+                self.accepted(order, number)
+            except resp.BadCommand as bad:
+                failed[order.id] = str(bad)
         return resp.bulk(failed)
 
+    async def mutate(self, rest: str) -> bytes:
+        """Jobs that wait here are withdrawn or made due (the protocol's Mutate API)."""
+        for amendment in read_mutate(resp.read_object(rest)):
+            self.stage.amend(amendment)
+        return resp.simple("OK")
+
     async def track(self, rest: str) -> bytes:
         verb, _, jid = rest.partition(" ")
         if verb.upper() != "GET":
             raise resp.BadCommand("only TRACK GET is known")
-        return resp.bulk(tracked(jid.strip(), self.exchange.record(ORIGIN, jid.strip())))
+        return resp.bulk(tracked(jid.strip(), self.stage.record(ORIGIN, jid.strip())))
 
     async def info(self, rest: str) -> bytes:
         return resp.bulk({"server": {"description": "millethead", "faktory_version": __version__,
                                      "connections": len(self.server.open)},
-                          "faktory": {"tasks": {}, "queues": {}, "held": self.exchange.held}})
+                          "faktory": {"tasks": {name.capitalize(): {"size": size}
+                                                for name, size in self.stage.counts().items()},
+                                      "queues": {}, "held": self.stage.held}})
 
     # ---- workers -------------------------------------------------------------------------------------
 
@@ -219,7 +252,29 @@
         if state not in ("", "quiet", "terminate", None):
             raise resp.BadCommand("current_state: quiet or terminate is wanted")
         self.workers.beat(process, state or "")
-        return resp.bulk({"state": "quiet"}) if self.exchange.closing else resp.simple("OK")
+        return resp.bulk({"state": "quiet"}) if self.stage.closing else resp.simple("OK")
+
+
+def _unheard(answer: Answer) -> None:
+    """A client that pushed a job waits for no answer: it asks by TRACK."""
+
+
+def read_mutate(mutation: dict[str, Any]) -> list[Amendment]:
+    """What a MUTATE asks for, one for each set of jobs that it names; raises BadCommand."""
+    cmd, target, chosen = mutation.get("cmd"), mutation.get("target"), mutation.get("filter") or {}
+    if cmd not in ("clear", "discard", "requeue"):
+        raise resp.BadCommand("cmd: clear, discard or requeue is wanted: nothing dead is kept here")
+    if target not in TARGETS:
+        raise resp.BadCommand(f"target: one of {', '.join(TARGETS)} is wanted")
+    if not isinstance(chosen, dict) or set(chosen) - {"jids", "jobtype"} or (cmd == "clear" and chosen):
+        raise resp.BadCommand("filter: jids and jobtype are known, and none for clear")
+    jids, jobtype = chosen.get("jids"), chosen.get("jobtype", "")
+    if not isinstance(jobtype, str) or (jids is not None and not (
+            isinstance(jids, list) and all(isinstance(jid, str) for jid in jids))):
+        raise resp.BadCommand("filter: jids is a list of jids, jobtype a text")
+    if cmd != "clear" and jids is None and not jobtype:
+        raise resp.BadCommand("filter: jids or a jobtype are wanted")
+    return [Amendment(ORIGIN, target, None if jids is None else frozenset(jids), jobtype, cmd == "requeue")]
 
 
 def tracked(jid: str, record: Record | None) -> dict[str, Any]:
@@ -227,10 +282,10 @@
     if record is None:
         return {"jid": jid, "state": "unknown", "updated_at": ""}
     state = "working" if record.attempts else "enqueued"
-    if record.final is not None:
+    if record.ended:
         state = "success" if record.final is Final.SERVED else "failed"
     when = datetime.fromtimestamp(record.at / 1000, UTC).isoformat()
-    return {"jid": jid, "state": state, "desc": record.final.value if record.final else "",
+    return {"jid": jid, "state": state, "desc": record.state or (record.final.value if record.final else ""),
             "updated_at": when}
 
 
--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 
 from millethead.decide import interface as api
-from millethead.exchange.core import Exchange
-from millethead.exchange.model import Answer, Final, Order
+from millethead.exchange.model import Answer, Final, Order, Plan
+from millethead.exchange.stage import Stage, Unusable
+from millethead.fronts.times import read_time
 from millethead.net.accept import Reply
 from millethead.net.connection import Connection
 from millethead.net.exchange import exchange_job
@@ -20,13 +21,14 @@
 _KEY = re.compile(r"[!-~]{1,256}")  # passed on: a worker that cannot read a field closes the connection
 _COOKIE = re.compile(r"(?:^|;)\s*k=\"?([0-9A-Za-z_-]{1,64})\"?\s*(?:;|$)")
 _ATTRS = {"slots": "slots", "needs": "slots", "memory": "memory", "mem_needed": "memory"}
+PARENTS = 64  # ids in X-Run-After
 METHODS = {"/api": "POST", "/_jobs/news": "POST", "/up": "GET"}
 
 
 class PlatformFront:
-    def __init__(self, exchange: Exchange, classes: list[str], tenants: list[str], take: Take,
+    def __init__(self, stage: Stage, classes: list[str], tenants: list[str], take: Take,
                  report: Callable[[str], api.Report | None]) -> None:
-        self.exchange, self.take, self.report = exchange, take, report
+        self.stage, self.take, self.report = stage, take, report
         self.classes = {name: n for n, name in enumerate(classes)}
         self.tenants = {name: n for n, name in enumerate(tenants)}
 
@@ -39,14 +41,16 @@
             return Reply(405, b"no such method here\n", {"Allow": method})
         try:
             if request.path == "/up":
-                return Reply(200, b"ready\n") if self.exchange.ready else Reply(503, b"not ready\n")
+                return Reply(200, b"ready\n") if self.stage.ready else Reply(503, b"not ready\n")
             if request.path == "/_jobs/news":
                 read_news(request.body, self.report, self.take)
                 return Reply(200)
             order = self.order(request, conn)
+            answer = await exchange_job(self.stage, conn, order)
         except BadMessage as bad:
             return Reply(bad.status, f"{bad}\n".encode())
-        answer = await exchange_job(self.exchange, conn, order)
+        except Unusable as why:
+            return Reply(400, f"{why}\n".encode())
         return None if answer is None else reply_for(answer)
 
     def order(self, request: Request, conn: Connection) -> Order:
@@ -73,12 +77,29 @@
             if name.strip() in _ATTRS and number is not None and number >= 0:
                 attrs[_ATTRS[name.strip()]] = number
         cost, cookie = _number(fields.get("x-cost")), _COOKIE.search(fields.get("cookie", ""))
-        limit = self.exchange.settings.classes[job_class].deadline
+        limit = self.stage.settings.classes[job_class].deadline
         return Order(
             job_id, job_class, min(left * 1000, limit), tenant, request.target, request.body,
             once_key, route_key(cookie[1]) if cookie else 0,
             attrs["slots"] or 1.0, attrs["memory"], None if cost is None else cost / 1000,
-            fields.get("x-retried") == "1", origin="http", peer=conn.peer)
+            fields.get("x-retried") == "1", origin="http", peer=conn.peer, asked=left * 1000, waits=True,
+            plan=read_plan(fields))
+
+
+def read_plan(fields: dict[str, str]) -> Plan | None:
+    """What X-Run-At, X-Run-After and X-When-Parent-Fails ask for; None without them."""
+    at, after, fails = (fields.get(name) for name in ("x-run-at", "x-run-after", "x-when-parent-fails"))
+    if at is None and after is None and fails is None:
+        return None
+    if fails not in (None, "fail", "run"):
+        raise BadMessage(400, "X-When-Parent-Fails: run or fail is wanted")
+    parents = tuple(dict.fromkeys(text.strip() for text in after.split(","))) if after is not None else ()
+    if len(parents) > PARENTS or not all(_ID.fullmatch(parent) for parent in parents):
+        raise BadMessage(400, f"X-Run-After: up to {PARENTS} ids with commas between are wanted")
+    try:
+        return Plan(read_time(at) if at is not None else 0.0, parents, fails == "run")
+    except ValueError as error:
+        raise BadMessage(400, f"X-Run-At: {error}, or Unix seconds") from None
 
 
 def reply_for(answer: Answer) -> Reply:
--- a/millethead/net/exchange.py
+++ b/millethead/net/exchange.py
@@ -8,8 +8,8 @@
 
 from tornado.ioloop import IOLoop
 
-from millethead.exchange.core import Exchange
 from millethead.exchange.model import Answer, Order
+from millethead.exchange.stage import Stage
 from millethead.net.connection import Connection
 
 
@@ -32,23 +32,28 @@
     def now(self) -> float:
         return (time.monotonic() + self._offset) * 1000
 
+    @staticmethod
+    def wall() -> float:
+        """Unix time in ms as the machine says it now; it may be stepped either way."""
+        return time.time() * 1000
+
     def later(self, delay: float, call: Callable[[], None]) -> _Timer:
         return _Timer(IOLoop.current().call_later(max(0.0, delay) / 1000, call))
 
 
-async def exchange_job(exchange: Exchange, conn: Connection, order: Order) -> Answer | None:
-    """Hand the job in and wait for its answer; None if the client left first."""
+async def exchange_job(stage: Stage, conn: Connection, order: Order) -> Answer | None:
+    """Hand the job in and wait for its answer; None if the client left first. Raises Unusable."""
     future: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
 
     def settle(answer: Answer | None) -> None:
         if not future.done():
             future.set_result(answer)
 
-    number = exchange.arrive(order, settle)
+    number = stage.arrive(order, settle)
 
     def left() -> None:
         if number:
-            exchange.withdraw(number)
+            stage.withdraw(number)
         settle(None)
 
     conn.on_close(left)
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -7,18 +7,17 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import structlog
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from millethead.config import Config, ConfigError, load_config
+from millethead.decide.interface import Tenant
 from millethead.decide.settings import report_field
 from millethead.exchange.core import Exchange
-from millethead.flows.ipfix import Exporter
-from millethead.fronts.faktory.jobs import Jobs
-from millethead.fronts.faktory.session import FaktoryServer
-from millethead.fronts.faktory.workers import FaktoryWorkers
+from millethead.exchange.stage import Stage
 from millethead.fronts.platform import PlatformFront
 from millethead.net.accept import Acceptor
 from millethead.net.discovery import Discovery, Names
@@ -28,6 +27,10 @@
 from millethead.net.send import HttpWorkers
 from millethead.operators import Operator
 
+if TYPE_CHECKING:  # what is not set up is not imported
+    from millethead.flows.ipfix import Exporter
+    from millethead.fronts.faktory.session import FaktoryServer
+
 log = structlog.get_logger()
 GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
 # ms after SIGTERM in which no SIGKILL comes: the longest deadline, or so much where it is longer, and more
@@ -38,34 +41,53 @@
 
 class Program:
     def __init__(self, config: Config, operator: Operator | None = None,
-                 load: Callable[[], Config] = load_config) -> None:
+                 load: Callable[[], Config] = load_config, clock: LoopClock | None = None) -> None:
         self.config, self.operator, self.load = config, operator or Operator(), load
+        clock = clock or LoopClock()
         family = config.info.get("family_info") or {}
         fields = {name: field for name in REPORT_NAMES if (field := report_field(name, family))}
         report = report_reader(fields)
-        self.exchange = Exchange(config.settings, config.seed, LoopClock())
+        waiting = self.operator.waiting
+        flows: tuple[Tenant, ...] = ()
+        if waiting is not None:
+            from millethead.waiting.ageing import aged_flow
+
+            flows = (aged_flow(waiting),)
+        self.exchange = Exchange(config.settings, config.seed, clock, flows)
+        # the stages that a job passes, from the last to the first
+        self.stage: Stage = self.exchange
+        if waiting is not None:
+            from millethead.waiting.room import WaitingRoom
+
+            self.stage = WaitingRoom(self.exchange, waiting, config.names("classes"), clock)
         self.pool = Pool(0, *_times(config))
         self.workers = HttpWorkers(self.exchange, self.pool, Probes(self.exchange, self.pool, report), report)
         names = Names(config.names("azs"), config.names("kinds"))
         self.discovery = Discovery(self.exchange, self.workers, config.discovery, names)
         self.exchange.roster = self.discovery
-        front = PlatformFront(self.exchange, config.names("classes"), config.names("tenants"),
+        front = PlatformFront(self.stage, config.names("classes"), config.names("tenants"),
                               self.workers.news, report)
         setup = self.operator.faktory
         self.faktory: FaktoryServer | None = None
         room = self._share_sockets(config.sockets)
         if setup is not None:
+            from millethead.fronts.faktory.jobs import Jobs
+            from millethead.fronts.faktory.session import FaktoryServer
+            from millethead.fronts.faktory.workers import FaktoryWorkers
+
             jobs = Jobs(setup, config.names("classes"), config.names("tenants"),
                         [c.deadline for c in config.settings.classes])
             fetchers = FaktoryWorkers(self.exchange, jobs, names.zones.get(setup.zone, 0),
                                       names.kinds.get(setup.kind, len(names.kinds)))
-            self.faktory = FaktoryServer(self.exchange, jobs, fetchers, config.sockets * 6 // 10 - room)
+            self.faktory = FaktoryServer(self.stage, jobs, fetchers, config.sockets * 6 // 10 - room)
         self.acceptor = Acceptor(front.serve, room)
         self.flows: Exporter | None = None
         if self.operator.flows is not None:
+            from millethead.flows.ipfix import Exporter
+
             self.flows = Exporter(self.operator.flows, config.listen, setup.listen if setup else None,
                                   config.names("classes"))
-            self.exchange.finished = self.flows.finished
+            self.stage.finished = self.flows.finished
         self.goes_on = GOES_ON
         self._leaving: asyncio.Task[None] | None = None
         self.serving = asyncio.Event()
@@ -122,7 +144,7 @@
         log.info("reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}",
                  needs_restart=",".join(fixed) or "nothing")
         if not fixed and new.settings != old.settings:
-            self.exchange.reconfigure(new.settings)
+            self.stage.reconfigure(new.settings)
             self.pool.set_times(*_times(new))
         room = self._share_sockets(new.sockets)
         self.acceptor.limit = room
@@ -143,10 +165,10 @@
             for number in (signal.SIGTERM, signal.SIGINT):
                 loop.remove_signal_handler(number)
                 signal.signal(number, signal.SIG_IGN)
-        log.info("stopping", held=self.exchange.held)
+        log.info("stopping", held=self.stage.held)
         alive = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + MORE
-        if self.faktory is None:
-            self.exchange.close_by(alive - ANSWERED)
+        # Faktory's clients wait for nobody: what they pushed ends by its own deadline
+        self.stage.leave(alive - ANSWERED if self.faktory is None else None)
         self._leaving = loop.create_task(self._leave(alive - TAKEN))
 
     async def _leave(self, taken: float) -> None:
@@ -154,7 +176,7 @@
         and have nobody else until this node is back: they are served while there is time."""
         await asyncio.sleep(self.goes_on)
         until = time.monotonic() + taken / 1000 - self.goes_on
-        while time.monotonic() < until and (self.acceptor.open or self.exchange.held):
+        while time.monotonic() < until and (self.acceptor.open or self.stage.held):
             await asyncio.sleep(0.05)
         self.drain()
 
@@ -165,8 +187,7 @@
     def drain(self) -> None:
         """Take nothing more; end when all that is held has its answer."""
         self.acceptor.drain()
-        self.exchange.on_empty = self._ended.set
-        self.exchange.close()
+        self.stage.close(self._ended.set)
 
 
 def _times(config: Config) -> tuple[float, float]:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -122,7 +122,7 @@
         """What SIGKILL found unanswered was lost: deadlines are up to 25 s, and the platform waits 3.7 s."""
         self.arrive("a", 1)
         self.clock.run(1500)
-        self.exchange.close_by(1000.0)
+        self.exchange.leave(1000.0)
         self.assertFalse(self.exchange.ready)
         self.arrive("b")  # still taken, and not late for its short time
         self.assertEqual(len(self.side.started), 2)
@@ -148,7 +148,7 @@
                 self.arrive(job_id)
         self.assertEqual(self.finals(), [Final.REFUSED])
         for n in range(5):
-            with mock.patch("millethead.exchange.core.KEPT", 2):
+            with mock.patch("millethead.exchange.records.KEPT", 2):
                 self.exchange.ended(self.side.started[0], api.Outcome.OK)
                 self.side.started.clear()
                 self.arrive(f"d{n}")
--- a/tests/test_ipfix.py
+++ b/tests/test_ipfix.py
@@ -6,7 +6,8 @@
 
 from millethead.exchange import Answer, Final, Order
 from millethead.flows.ipfix import Exporter
-from millethead.operators import FlowSetup
+from millethead.flows.setup import FlowSetup
+from millethead.tables import Local
 
 TEMPLATES = (
     "0002 006c "  # template set of 108 bytes
@@ -40,7 +41,7 @@
         self.collector.close()
 
     def exporter(self, **more):
-        setup = FlowSetup(self.collector.getsockname(), **more)
+        setup = FlowSetup(collector=Local(self.collector.getsockname()), **more)
         made = Exporter(setup, ("127.0.0.1", 8443), None, ["refund"], lambda: self.time)
         made.start()
         self.addCleanup(made.stop)
