--- a/millethead/waiting/room.py
+++ b/millethead/waiting/room.py
@@ -203,7 +203,7 @@
         if entry.offers != offers:
             return
         order = entry.order
-        known = entry.record or self.inner.record(order.origin, order.id)
+        known = self.inner.record(order.origin, order.id) or entry.record
         self.book.answered(entry, answer, known, self.clock.now())
         if entry.state is State.AGED:
             log.info("job_waits_on", job=order.id, offers=entry.offers,
@@ -214,11 +214,12 @@
         entry, answer, now = close.entry, close.answer, self.clock.now()
         order, reply = entry.order, entry.reply
         entry.reply = None
-        if close.why is not None:
+        # what waited here and met no room in the next stage is known there by nobody
+        if close.why is not None or (entry.kept and self.inner.record(order.origin, order.id) is None):
             record = Record(now, answer.final if answer is not None else None, came=entry.came, ended=True,
                             state=WITHDRAWN if answer is None else "")
             self._records.put((order.origin, order.id), record, now)
-            if close.why is not Why.FULL:
+            if close.why is not None and close.why is not Why.FULL:
                 log.info("job_" + (answer.final.value if answer is not None else "withdrawn"), job=order.id,
                          why=close.why.value, after_ms=round(now - entry.came))
         if answer is not None and reply is not None:
