--- a/millethead/fronts/faktory/session.py
+++ b/millethead/fronts/faktory/session.py
@@ -266,6 +266,8 @@
         raise resp.BadCommand("cmd: clear, discard or requeue is wanted: nothing dead is kept here")
     if target not in TARGETS:
         raise resp.BadCommand(f"target: one of {', '.join(TARGETS)} is wanted")
+    if cmd == "requeue" and target != "scheduled":
+        raise resp.BadCommand("requeue: only what is scheduled can be made due: the rest waits for others")
     if not isinstance(chosen, dict) or set(chosen) - {"jids", "jobtype"} or (cmd == "clear" and chosen):
         raise resp.BadCommand("filter: jids and jobtype are known, and none for clear")
     jids, jobtype = chosen.get("jids"), chosen.get("jobtype", "")
--- a/millethead/waiting/book.py
+++ b/millethead/waiting/book.py
@@ -21,6 +21,7 @@
 from millethead.waiting.calendar import Calendar
 from millethead.waiting.setup import WaitingSetup
 
+LATE = 1500.0  # ms by which a set time may be noticed late (a bucket, a look, a crowd): its job's bound counts them
 LOOK = 500.0  # ms between two looks at the wall clock while something waits for it: it may have been stepped
 CHEAP = 16  # pieces that cost microseconds for one that hands a job on
 PUMP = 10.0  # ms between two looks at lines whose offers all wait for a worker
@@ -141,12 +142,12 @@
         self._now, plan = now, order.plan
         if plan is None:
             entry = self._new(order, reply, now)
-            self._settle_end(entry)
             entry.due, entry.offers = now, 1
+            self._settle_end(entry)
             self._effects.append(Offer(entry, order))
             return entry
         if plan.at > wall + self.setup.horizon_s * 1000:
-            raise Unusable(f"the set time is more than {self.setup.horizon_s:g} s ahead")
+            raise Unusable(f"the set time is more than {self.setup.horizon_s:.0f} s ahead")
         if order.waits and plan.at > wall + order.asked:
             raise Unusable("the set time is later than the client waits for its answer")
         parents: dict[int, Entry] = {}
@@ -183,7 +184,7 @@
         elif parents:
             self._to(entry, State.WAITING)
         else:
-            self._become_due(entry)
+            self._become_due(entry, now)
         return entry
 
     def answered(self, entry: Entry, answer: Answer, record: Record | None, now: float) -> None:
@@ -228,7 +229,7 @@
                 if not amendment.hasten:
                     self._close(entry, None, Why.WITHDRAWN)
                 elif entry.state is State.SCHEDULED:
-                    self._time_came(entry)
+                    self._time_came(entry, self._now)
             yield
 
     def leave(self) -> None:
@@ -288,7 +289,9 @@
             if entry.order.plan.at > wall:  # the wall clock was stepped back while its bucket was open
                 self._times.add(entry.order.plan.at, number)
             else:
-                self._time_came(entry)
+                # more than that is a clock stepped forward, which must not use up the job's own time
+                late = wall - entry.order.plan.at
+                self._time_came(entry, now - late if late <= LATE else now)
         return True
 
     def _offer(self, now: float) -> bool:
@@ -367,24 +370,24 @@
 
     def _settle_end(self, entry: Entry) -> None:
         order = entry.order
-        entry.end = min(entry.end, self.bounds.end(order, self.classes[order.job_class], self._now))
+        entry.end = min(entry.end, self.bounds.end(order, self.classes[order.job_class], entry.due))
 
-    def _time_came(self, entry: Entry) -> None:
+    def _time_came(self, entry: Entry, due: float) -> None:
         if entry.order.plan is not None:
             self._times.drop(entry.order.plan.at, entry.number)
         if entry.parents:
             self._to(entry, State.WAITING)
         else:
-            self._become_due(entry)
+            self._become_due(entry, due)
 
-    def _become_due(self, entry: Entry) -> None:
+    def _become_due(self, entry: Entry, due: float) -> None:
         """From here on its time runs."""
         if self.leaving:
             self._close(entry, Answer(Final.REFUSED), Why.LEAVING)
             return
         if entry.end < inf:
             self._ends.drop(entry.end, entry.number)
-        entry.due = self._now
+        entry.due = due
         self._settle_end(entry)
         self._ends.add(entry.end, entry.number)
         self._to(entry, State.DUE)
@@ -427,5 +430,5 @@
                 if not served and not (plan is not None and plan.any_end):
                     self._close(child, Answer(Final.FAILED), Why.PARENT)
                 elif not child.parents and child.state is State.WAITING:
-                    self._become_due(child)
+                    self._become_due(child, self._now)
             yield
--- a/millethead/waiting/setup.py
+++ b/millethead/waiting/setup.py
@@ -26,7 +26,7 @@
     jobs: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
     bytes: Annotated[int, Meta(ge=1, le=1 << 34)] = 16 << 20
     edges: Annotated[int, Meta(ge=0, le=10_000_000)] = 50_000
-    horizon_s: Annotated[float, Meta(ge=1, le=366 * DAY)] = 31 * DAY
+    horizon_s: Annotated[float, Meta(ge=1, le=36_525 * DAY)] = 31 * DAY
     offers: Annotated[int, Meta(ge=1, le=1024)] = 16
     aged_rate: Annotated[float, Meta(ge=0.001, le=1000)] = 1.0
     classes: dict[str, ClassBound] = {}
--- a/tests/play.py
+++ b/tests/play.py
@@ -97,6 +97,8 @@
         far = PATIENCE * 1000
         self.patches.append(mock.patch("millethead.decide.balance.Balancer._stays", lambda _: far))
         self.patches.append(mock.patch("millethead.decide.balance.TAKE", far))
+        # and what the waiting room has to do it does before the next line is read
+        self.patches.append(mock.patch("millethead.waiting.room.SLICE", far))
         for patch in self.patches:
             patch.start()
         self.folder = tempfile.TemporaryDirectory()
