--- a/millethead/cli.py
+++ b/millethead/cli.py
@@ -68,7 +68,7 @@
     waiting = operator.waiting
     if waiting is not None:
         lines.append(f"waiting: {waiting.jobs} jobs, {waiting.bytes} bytes, {waiting.edges} edges, set times up to "
-                     f"{waiting.horizon_s:g} s ahead, {waiting.aged_rate:g} aged starts a second for all")
+                     f"{waiting.horizon_s:.0f} s ahead, {waiting.aged_rate:g} aged starts a second for all")
         for name, known in zip(config.names("classes"), config.settings.classes, strict=True):
             bound = waiting.classes.get(name)
             lines.append(f"waiting.classes.{name}: " + (
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -104,7 +104,7 @@
         if order.plan is not None and (order.plan.after or order.plan.at > now):
             raise Unusable("jobs for a later time, or after others, are not taken here")
         known = self.record(*name)
-        if known is not None and not (order.again and known.final is Final.REFUSED):
+        if known is not None and not self._offered_again(order, known):
             # ids are never reused, a client's retry included: this is the same job again, which could charge
             # twice, or somebody else's under its name, which workers turn away
             sparing_log.warning("job_id_repeated", job=order.id)
@@ -126,6 +126,11 @@
                                   order.expected_work, order.repeat, order.fresh))
         return number
 
+    def _offered_again(self, order: Order, known: Record) -> bool:
+        """Whether a job that comes once more was refused, and has not run or may be repeated."""
+        safe = self.settings.classes[order.job_class].effect is api.Effect.SAFE
+        return order.again and known.final is Final.REFUSED and (safe or not known.may_have_run)
+
     def arrive_all(self, orders: Sequence[tuple[Order, Reply]]) -> list[int | Unusable]:
         out: list[int | Unusable] = []
         for order, reply in orders:
--- a/millethead/lab/hour.py
+++ b/millethead/lab/hour.py
@@ -24,6 +24,7 @@
 from millethead.lab.standins import Discovery, Faktory, HttpWorker, Ledger, fetch_loop, post
 from millethead.operators import load_operator
 from millethead.program import Program
+from millethead.waiting.room import WaitingRoom
 
 CLASSES: list[dict[str, Any]] = [
     {"name": "desk-search", "deadline": 7500.0, "goal_time": 2000.0, "effect": "retryable", "worth": 2.0},
@@ -94,7 +95,7 @@
         self.ledger.work = lambda job_id: self.work[job_id]
         self.turned_away: list[str] = []
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.count = 0
+        self.count = self.returned = 0
 
     # ---- the parties ---------------------------------------------------------------------------------
 
@@ -109,6 +110,8 @@
                 for task in self.tasks:
                     task.cancel()
                 await asyncio.gather(*self.tasks, return_exceptions=True)
+                stage = self.program.stage
+                self.returned = stage.book.returned if isinstance(stage, WaitingRoom) else 0
                 self.program.finish()
                 await self.running
                 for worker in self.workers:
--- a/millethead/waiting/book.py
+++ b/millethead/waiting/book.py
@@ -104,6 +104,7 @@
         self.entries: dict[int, Entry] = {}
         self.leaving = False
         self.kept = self.bytes = self.edges = 0
+        self.returned = 0  # how often a refused job went back to wait
         self.counts = dict.fromkeys(State, 0)
         self._ids: dict[str, dict[str, Entry]] = {}
         self._numbers = 0
@@ -205,6 +206,7 @@
                 self._close(entry, answer, Why.FULL)
                 return
             entry.record = None
+            self.returned += 1
             self._ends.add(entry.end, entry.number)
             self._to(entry, State.AGED)
             self._line(entry).add(entry)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -106,6 +106,20 @@
         self.arrive("a")
         self.assertEqual((self.finals(), len(self.side.started)), ([Final.SERVED, Final.FAILED], 1))
 
+    def test_a_stage_may_offer_a_refused_job_again_but_not_one_that_may_have_run(self):
+        def again(job_id, job_class):
+            return self.exchange.arrive(Order(job_id, job_class, 5000.0, again=True), self.answers.append)
+
+        self.clock.run(1000)
+        self.exchange.listed(self.side, api.ListForm.FULL, [])
+        self.arrive("a", 1)  # no worker is left: refused, and never ran
+        self.clock.run(7000)
+        self.assertEqual(self.finals(), [Final.REFUSED])
+        self.assertTrue(again("a", 1))
+        self.exchange.record("", "a").may_have_run = True
+        self.clock.run(13_000)
+        self.assertEqual((again("a", 1), self.finals()[-1]), (0, Final.FAILED))
+
     def test_a_job_that_a_worker_cannot_use_fails_at_once_and_the_worker_is_not_blamed(self):
         self.exchange.listed(self.side, api.ListForm.FULL, [Listed("w1")])
         for n in range(3):
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -6,6 +6,7 @@
 import unittest
 from collections import Counter
 from contextlib import suppress
+from datetime import UTC, datetime, timedelta
 
 from play import OPERATOR, PATIENCE, Stage
 
@@ -219,6 +220,32 @@
         self.assertEqual(self.town.runs["search-02"], 0)
 
 
+class Waits(unittest.IsolatedAsyncioTestCase):
+    async def test_sigterm_answers_what_waits_before_the_program_ends(self):
+        async with Stage(OPERATOR + "[waiting]\n") as stage:
+            town = Town(stage)
+            pair = await town.faktory()
+            at = datetime.now(UTC) + timedelta(days=1)
+            job = json.loads(push("timed-01")[5:]) | {"at": f"{at:%Y-%m-%dT%H:%M:%SZ}"}
+            self.assertEqual(await town.ask(*pair, "PUSH " + json.dumps(job)), "OK")
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.port("client"))
+            writer.write(http("POST /api HTTP/1.1", b"", X_Request_ID="child", X_Priority_Class="paid-booking",
+                              X_Tenant_Id="rioni-hub", X_Timeout=15, X_Run_After="timed-01"))
+            while (await town.ask(*pair, "INFO"))["faktory"]["tasks"]["Waiting"]["size"] == 0:
+                await asyncio.sleep(0)
+            stage.program.stop()
+            start, fields, _ = await asyncio.wait_for(read_http(reader), PATIENCE)
+            self.assertEqual((start, "retry-after" in fields), ("HTTP/1.1 503 Service Unavailable", True))
+            said = await town.ask(*pair, "TRACK GET timed-01")
+            self.assertEqual((said["state"], said["desc"]), ("failed", "refused"))
+            late = json.dumps(job | {"jid": "timed-02"})
+            self.assertIn("ERR not accepted now", await town.ask(*pair, "PUSH " + late))
+            writer.close()
+            pair[1].close()
+            await town.close()
+            await asyncio.wait_for(stage.program._ended.wait(), PATIENCE)
+
+
 class Flows(unittest.IsolatedAsyncioTestCase):
     async def test_the_program_exports_each_exchange_and_only_where_it_is_set_up(self):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as collector:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -51,6 +51,13 @@
         done = self.run_it("check")
         self.assertEqual((done.returncode, done.stderr), (0, ""))
 
+    def test_check_shows_the_bounds_in_force(self):
+        done = self.run_it("check", operator="[waiting]\njobs = 7\n[waiting.classes.refund]\nbound_s = 90\n")
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+        self.assertIn("waiting: 7 jobs, 16777216 bytes, 50000 edges, set times up to 2678400 s ahead", done.stdout)
+        self.assertIn("refund: answered within 90 s of being due, refused ones wait on\n", done.stdout)
+        self.assertIn("paid-booking: answered within 15 s of being due, refused ones are not kept\n", done.stdout)
+
     def test_a_bad_configuration_ends_it_with_one_clear_line(self):
         for config, says in (("{", "config.json"), ({**CONFIG, "settings": {}}, "settings lack 'classes'"),
                              ({**CONFIG, "listen": "nowhere"}, "listen: not an address"),
