lab: clients of the hour ask for their outcomes while they are remembered

Seen: in a whole hour, clients that asked at its end were told 'unknown' of 1,129 jobs: outcomes are remembered for ten minutes. Change: they ask five seconds after each job's end, as clients would.

--- a/millethead/lab/hour.py
+++ b/millethead/lab/hour.py
@@ -11,6 +11,7 @@
 import json
 import tempfile
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -64,6 +65,7 @@
 JOBTYPES = {"usage-report": "Report", "paid-booking": "Book", "refund": "Refund", "desk-search": "Search"}
 SLOTS = 6  # two HTTP workers and one Faktory worker of two each
 QUEUES = "usage-report payments paid-booking refund desk-search"
+ASKED = 5000.0  # ms after a job's end that its client asks
 LATE = 1500.0  # ms of real time past the end of the arrivals in which all must be over, beyond the bounds
 
 
@@ -94,6 +96,7 @@
         self.work: dict[str, float] = {}
         self.ledger.work = lambda job_id: self.work[job_id]
         self.turned_away: list[str] = []
+        self.to_ask: asyncio.Queue[Job] = asyncio.Queue()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.count = self.returned = 0
 
@@ -146,6 +149,7 @@
             worker.dispatcher = self.http
         for _ in range(2):
             self._spawn(fetch_loop(self.faktory, "w-faktory", QUEUES, self.clock, self.ledger))
+        self._spawn(self._ask())
         self.pusher = await Faktory.open(self.faktory)
 
     def _spawn(self, what: Any) -> None:
@@ -157,6 +161,18 @@
         job = self.jobs[order.id]
         job.answers.append(answer.final.value if answer is not None else "withdrawn")
         job.ended = ended
+        if job.front == "faktory":
+            self.to_ask.put_nowait(job)
+
+    async def _ask(self) -> None:
+        """Clients ask what became of what they pushed: some seconds later, while it is remembered."""
+        link = await Faktory.open(self.faktory)
+        while True:
+            job = await self.to_ask.get()
+            await asyncio.sleep(max(0.0, (job.ended + ASKED - self.clock.now()) / 1000 / self.clock.speed))
+            said = await link.ask(f"TRACK GET {job.id}")
+            job.seen.append(said["desc"] if said["state"] in ("success", "failed") else said["state"])
+            self.to_ask.task_done()
 
     # ---- the jobs ------------------------------------------------------------------------------------
 
@@ -278,7 +294,7 @@
         await self.discovery.change(self.workers[1].name, status="in_service")
 
     async def _wait_for_the_end(self) -> None:
-        """Until nothing is owed; then clients ask what became of what they pushed."""
+        """Until nothing is owed, and all have asked."""
         longest = max(BOUNDS.values()) * 3000 / self.clock.speed + LATE
         last = max((job.at for job in self.jobs.values()), default=0.0)
         until = asyncio.get_running_loop().time() + (
@@ -287,11 +303,9 @@
             if asyncio.get_running_loop().time() > until:
                 break
             await asyncio.sleep(0.05)
-        await asyncio.sleep(0.2)
-        for job in self.jobs.values():
-            if job.front == "faktory":
-                said = await self.pusher.ask(f"TRACK GET {job.id}")
-                job.seen.append(said["desc"] if said["state"] in ("success", "failed") else said["state"])
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.to_ask.join(), 10.0)
+        await asyncio.sleep(0.2)  # the last HTTP clients read their answers
 
     # ---- the table -----------------------------------------------------------------------------------
 
