Limit the time of reads and writes without a task for each

Seen: a profile of 2,000 jobs had 15 tasks and 36 turns of the loop a job; 20 times a job a read or write was given its time limit by wait_for, which on Python 3.11 makes a task of it, whose end takes another turn. Change: net/connection.py within() uses asyncio.timeout, which cancels in place; what it raises is the same.

--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -23,7 +23,8 @@
 async def within(seconds: float, what: Awaitable[T]) -> T:
     """Wait so long at most; raises Late. The connection is to be closed after that: its read goes on."""
     try:
-        return await asyncio.wait_for(what, max(0.0, seconds))
+        async with asyncio.timeout(max(0.0, seconds)):  # wait_for would make a task of each read and write
+            return await what
     except TimeoutError:
         raise Late from None
 
