Add a door before the exchange: fair queues, a window, and promised times (off)

RBFQ keeps tenants apart, but nothing protects a tenant's clients from a greedy one of their own, and a refusal without a pause says 1 s whatever the load. Change: millethead/door, a stage of the seam: start-time fair queuing of tenants, lanes of clients by two choices of a seeded hash, served by deficit round robin; a window on jobs that wait for a worker inside; a book of promises by tenant and slot. Fronts name a client (header, wid or hostname). Off without [door]; needs the extra 'door' (xxhash).

--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -43,7 +43,8 @@
     client names its type and queue.
 
     `left` is the longest that it may take once it can run (ms), `asked` what its client itself allows, `waits`
-    that the client counts that from now on and not from when the job is due. `flow`: the flow of the module
+    that the client counts that from now on and not from when the job is due. `client`: who hands it in, if more is
+    known than `peer`. `flow`: the flow of the module
     that it waits in, if not its tenant's. `again`: it was refused before, and a stage hands it in once more."""
 
     id: str
@@ -66,6 +67,7 @@
     peer: tuple[str, int] | None = None
     asked: float = float("inf")
     waits: bool = False
+    client: str = ""
     plan: Plan | None = None
     flow: int | None = None
     again: bool = False
--- a/millethead/fronts/faktory/jobs.py
+++ b/millethead/fronts/faktory/jobs.py
@@ -35,7 +35,7 @@
         self.classes = {name: n for n, name in enumerate(classes)}
         self.tenants, self.tenant_names = {name: n for n, name in enumerate(tenants)}, tenants
 
-    def order(self, job: dict[str, Any], peer: tuple[str, int] | None) -> Order:
+    def order(self, job: dict[str, Any], peer: tuple[str, int] | None, client: str = "") -> Order:
         """The order that a pushed job means. Its `retry` is not read: resends follow the class alone."""
         jid, jobtype, args = read_jid(job), job.get("jobtype"), job.get("args")
         queue, custom = job.get("queue", "default"), job.get("custom") or {}
@@ -60,7 +60,7 @@
         return Order(jid, number, min(timeout * 1000, self.deadlines[number]), tenant, TARGET, body, key,
                      fresh=True, jobtype=jobtype, queue=queue, origin=ORIGIN, peer=peer,
                      reserve=1000 * _seconds(job.get("reserve_for"), RESERVE, "reserve_for"),
-                     asked=timeout * 1000, plan=_plan(job.get("at"), custom))
+                     asked=timeout * 1000, client=client, plan=_plan(job.get("at"), custom))
 
     def fetched(self, attempt: Attempt, now: float) -> dict[str, Any]:
         """The job as a worker gets it, whichever front it came by."""
--- a/millethead/fronts/faktory/session.py
+++ b/millethead/fronts/faktory/session.py
@@ -56,7 +56,7 @@
     def __init__(self, server: FaktoryServer, conn: Connection) -> None:
         self.server, self.conn = server, conn
         self.stage, self.jobs, self.workers = server.stage, server.jobs, server.workers
-        self.peer = conn.peer
+        self.peer, self.client = conn.peer, ""
         self.process: Process | None = None
         self.commands: dict[str, Callable[[str], Awaitable[bytes]]] = {
             "PUSH": self.push, "PUSHB": self.push_bulk, "FETCH": self.fetch, "ACK": self.ack,
@@ -131,6 +131,8 @@
         except resp.BadCommand as bad:
             await self.write(resp.error(str(bad)))
             return False
+        hostname = hello.get("hostname")
+        self.client = wid or (hostname[:256] if isinstance(hostname, str) else "")
         if wid:
             self.process = self.workers.joined(wid)
         await self.write(resp.simple("OK"))
@@ -144,13 +146,14 @@
             raise resp.BadCommand("an object is wanted")
         if self.stage.record(ORIGIN, read_jid(job)) is not None:
             return None
-        return self.jobs.order(job, self.peer)
+        return self.jobs.order(job, self.peer, self.client)
 
     async def push(self, rest: str) -> bytes:
         order = self.order(resp.read_object(rest))
         if order is not None:
+            _heard.pause = 0.0
             try:
-                number: int | Unusable = self.stage.arrive(order, _unheard)
+                number: int | Unusable = self.stage.arrive(order, _heard)
             except Unusable as why:
                 number = why
             self.accepted(order, number)
@@ -161,6 +164,8 @@
         if isinstance(number, Unusable):
             raise resp.BadCommand(str(number))
         if not number and self.stage.record(ORIGIN, order.id) is None:
+            if _heard.pause:
+                raise resp.BadCommand(f"not accepted now: come back in {_heard.pause / 1000:.3f} s")
             raise resp.BadCommand("not accepted now: too much is held, or this dispatcher is stopping")
 
     async def push_bulk(self, rest: str) -> bytes:
@@ -177,7 +182,8 @@
             except resp.BadCommand as bad:
                 jid = job.get("jid") if isinstance(job, dict) else None
                 failed[jid if isinstance(jid, str) else f"#{n}"] = str(bad)
-        numbers = self.stage.arrive_all([(order, _unheard) for order in orders.values()])
+        _heard.pause = 0.0
+        numbers = self.stage.arrive_all([(order, _heard) for order in orders.values()])
         for order, number in zip(orders.values(), numbers, strict=True):
             try:
                 self.accepted(order, number)
@@ -255,8 +261,17 @@
         return resp.bulk({"state": "quiet"}) if self.stage.closing else resp.simple("OK")
 
 
-def _unheard(answer: Answer) -> None:
-    """A client that pushed a job waits for no answer: it asks by TRACK."""
+class _Heard:
+    """A client that pushed a job waits for no answer: it asks by TRACK. Only the longest pause of those that were
+    turned away within one command is of use; one object for all jobs, since each keeps its own for long."""
+
+    pause = 0.0
+
+    def __call__(self, answer: Answer) -> None:
+        self.pause = max(self.pause, answer.pause)
+
+
+_heard = _Heard()
 
 
 def read_mutate(mutation: dict[str, Any]) -> list[Amendment]:
--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -27,7 +27,9 @@
 
 class PlatformFront:
     def __init__(self, stage: Stage, classes: list[str], tenants: list[str], take: Take,
-                 report: Callable[[str], api.Report | None]) -> None:
+                 report: Callable[[str], api.Report | None], client: str = "") -> None:
+        """`client`: the field that names who hands a job in, if an operator has chosen one."""
+        self.client = client.lower()
         self.stage, self.take, self.report = stage, take, report
         self.classes = {name: n for n, name in enumerate(classes)}
         self.tenants = {name: n for n, name in enumerate(tenants)}
@@ -83,7 +85,7 @@
             once_key, route_key(cookie[1]) if cookie else 0,
             attrs["slots"] or 1.0, attrs["memory"], None if cost is None else cost / 1000,
             fields.get("x-retried") == "1", origin="http", peer=conn.peer, asked=left * 1000, waits=True,
-            plan=read_plan(fields))
+            client=fields.get(self.client, "") if self.client else "", plan=read_plan(fields))
 
 
 def read_plan(fields: dict[str, str]) -> Plan | None:
--- a/millethead/operators.py
+++ b/millethead/operators.py
@@ -4,12 +4,14 @@
 
 import tomllib
 from dataclasses import dataclass
+from importlib.util import find_spec
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from millethead.config import ConfigError
 
 if TYPE_CHECKING:  # what is not set up is not imported
+    from millethead.door.setup import DoorSetup
     from millethead.flows.setup import FlowSetup
     from millethead.fronts.faktory.setup import FaktorySetup
     from millethead.waiting.setup import WaitingSetup
@@ -20,11 +22,13 @@
     faktory: FaktorySetup | None = None
     flows: FlowSetup | None = None
     waiting: WaitingSetup | None = None
+    door: DoorSetup | None = None
 
 
 def load_operator(path: str, classes: list[str], zones: list[str]) -> Operator:
     """Read the file strictly, and each table by its owner's record; raises ConfigError, which names the file,
     the key and what is wanted."""
+    from millethead.door.setup import DoorSetup
     from millethead.flows.setup import FlowSetup
     from millethead.fronts.faktory.setup import faktory_setup
     from millethead.tables import read_table
@@ -35,12 +39,15 @@
     except (OSError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from None
     try:
+        if "door" in raw and find_spec("xxhash") is None:
+            raise ConfigError("door: the package xxhash is wanted for it: install millethead[door]")
         for key in raw:
-            if key not in ("faktory", "ipfix", "waiting"):
-                raise ConfigError(f"unknown key {key!r}; faktory, ipfix or waiting are wanted")
+            if key not in ("faktory", "ipfix", "waiting", "door"):
+                raise ConfigError(f"unknown key {key!r}; faktory, ipfix, waiting or door are wanted")
         return Operator(
             faktory_setup(raw["faktory"], Path(path).parent, classes, zones) if "faktory" in raw else None,
             read_table(raw["ipfix"], FlowSetup, "ipfix") if "ipfix" in raw else None,
-            waiting_setup(raw["waiting"], classes) if "waiting" in raw else None)
+            waiting_setup(raw["waiting"], classes) if "waiting" in raw else None,
+            read_table(raw["door"], DoorSetup, "door") if "door" in raw else None)
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -56,17 +56,22 @@
         self.exchange = Exchange(config.settings, config.seed, clock, flows)
         # the stages that a job passes, from the last to the first
         self.stage: Stage = self.exchange
+        door = self.operator.door
+        if door is not None:
+            from millethead.door.door import Door
+
+            self.stage = Door(self.stage, door, clock, config.seed)
         if waiting is not None:
             from millethead.waiting.room import WaitingRoom
 
-            self.stage = WaitingRoom(self.exchange, waiting, config.names("classes"), clock)
+            self.stage = WaitingRoom(self.stage, waiting, config.names("classes"), clock)
         self.pool = Pool(0, *_times(config))
         self.workers = HttpWorkers(self.exchange, self.pool, Probes(self.exchange, self.pool, report), report)
         names = Names(config.names("azs"), config.names("kinds"))
         self.discovery = Discovery(self.exchange, self.workers, config.discovery, names)
         self.exchange.roster = self.discovery
         front = PlatformFront(self.stage, config.names("classes"), config.names("tenants"),
-                              self.workers.news, report)
+                              self.workers.news, report, door.header if door is not None else "")
         setup = self.operator.faktory
         self.faktory: FaktoryServer | None = None
         room = self._share_sockets(config.sockets)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -77,6 +77,7 @@
                            (good + 'connections = "9"', "faktory.connections: a whole number is wanted, not '9'"),
                            ('[ipfix]\ndomain = 1', "ipfix.collector: it is missing"),
                            ('[ipfix]\ncollector = 4739', "ipfix.collector: a loopback address is wanted"),
+                           ('[door]\nlanes = 0', "door.lanes: a whole number >= 1 is wanted, not 0"),
                            ('[waiting]\njobs = 0', "waiting.jobs: a whole number >= 1 is wanted, not 0"),
                            ('[waiting.classes.nothing]\nbound_s = 1', "unknown key 'nothing'; a class is wanted"),
                            ('[waiting.classes.refund]\nbound = 1', "unknown key 'bound'"),
