Write result tables and the default arrive_all in one place each

Need: the same loops stood in five benchmarks and two stages. Change: lab/table.py keeps a benchmark's rows; one_by_one in exchange/stage.py takes a batch where order does not matter.

--- a/benchmarks/door/flood.py
+++ b/benchmarks/door/flood.py
@@ -16,7 +16,6 @@
 
 from __future__ import annotations
 
-import csv
 from concurrent.futures import ProcessPoolExecutor
 from itertools import product
 from pathlib import Path
@@ -33,6 +32,7 @@
 from millethead.exchange.stage import Stage
 from millethead.lab.clock import VirtualClock
 from millethead.lab.fleet import Fleet, poisson
+from millethead.lab.table import keep
 
 CLASS = api.JobClass(deadline=15_000, aim=600, stretch=2.0, worth=10.0, effect=api.Effect.SAFE)
 TENANTS = (api.Tenant(8.0, 1.0, "a"), api.Tenant(8.0, 1.0, "b"))
@@ -107,12 +107,7 @@
         jobs = [pool.submit(run, scene, door, seed, seconds)
                 for scene, door, seed in product(SCENES, (False, True), range(1, seeds + 1))]
         rows = [job.result() for job in jobs]
-    with (out / "flood.csv").open("w", newline="") as file:
-        writer = csv.DictWriter(file, list(rows[0]), lineterminator="\n")
-        writer.writeheader()
-        writer.writerows(rows)
-    for row in rows:
-        print(" ".join(f"{k}={v}" for k, v in row.items() if v != ""))
+    keep(out / "flood.csv", rows)
 
 
 if __name__ == "__main__":
--- a/benchmarks/waiting/ageing.py
+++ b/benchmarks/waiting/ageing.py
@@ -16,7 +16,6 @@
 
 from __future__ import annotations
 
-import csv
 from concurrent.futures import ProcessPoolExecutor
 from itertools import product
 from pathlib import Path
@@ -32,6 +31,7 @@
 from millethead.exchange import Answer, Exchange, Final, Order
 from millethead.lab.clock import VirtualClock
 from millethead.lab.fleet import Fleet, poisson, twice
+from millethead.lab.table import keep
 from millethead.waiting.ageing import aged_flow
 from millethead.waiting.room import WaitingRoom
 from millethead.waiting.setup import ClassBound, WaitingSetup
@@ -137,13 +137,8 @@
         jobs = [pool.submit(run, way, seed, seconds, flood)
                 for flood, way, seed in product(FLOODS, WAYS, range(1, seeds + 1))]
         rows = [job.result() for job in jobs]
-    with (out / "ageing.csv").open("w", newline="") as file:
-        writer = csv.DictWriter(file, list(rows[0]), lineterminator="\n")
-        writer.writeheader()
-        writer.writerows(rows)
+    keep(out / "ageing.csv", rows)
     chart(rows, out / "ageing.svg")
-    for row in rows:
-        print(" ".join(f"{k}={v}" for k, v in row.items()))
 
 
 if __name__ == "__main__":
--- a/benchmarks/waiting/hour.py
+++ b/benchmarks/waiting/hour.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import asyncio
-import csv
 import sys
 from pathlib import Path
 
@@ -20,6 +19,7 @@
 from docopt import docopt
 
 from millethead.lab.hour import Hour
+from millethead.lab.table import keep
 
 
 def main() -> int:
@@ -27,14 +27,7 @@
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(40))
     hour = Hour(float(args["--seconds"]), float(args["--speed"]), int(args["--seed"]))
     rows = asyncio.run(hour.play())
-    path = Path(args["--out"])
-    path.parent.mkdir(parents=True, exist_ok=True)
-    with path.open("w", newline="") as file:
-        writer = csv.DictWriter(file, list(rows[0]), lineterminator="\n")
-        writer.writeheader()
-        writer.writerows(rows)
-    for row in rows:
-        print(" ".join(f"{k}={v}" for k, v in row.items()))
+    keep(Path(args["--out"]), rows)
     wrong = hour.wrong()
     for line in wrong[:40]:
         print("WRONG", line)
--- a/benchmarks/waiting/overhead.py
+++ b/benchmarks/waiting/overhead.py
@@ -15,7 +15,6 @@
 from __future__ import annotations
 
 import asyncio
-import csv
 import json
 import os
 import sys
@@ -29,6 +28,7 @@
 
 from millethead.lab.hour import SETTINGS
 from millethead.lab.standins import Discovery, HttpWorker, Ledger, post
+from millethead.lab.table import keep
 
 CLIENTS = 24
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -119,14 +119,7 @@
     args = docopt(__doc__ or "")
     rows = [await run(name, operator, int(args["--jobs"]))
             for _ in range(int(args["--rounds"])) for name, operator in VARIANTS.items()]
-    path = Path(args["--out"])
-    path.parent.mkdir(parents=True, exist_ok=True)
-    with path.open("w", newline="") as file:
-        writer = csv.DictWriter(file, list(rows[0]), lineterminator="\n")
-        writer.writeheader()
-        writer.writerows(rows)
-    for row in rows:
-        print(" ".join(f"{k}={v}" for k, v in row.items()))
+    keep(Path(args["--out"]), rows)
 
 
 if __name__ == "__main__":
--- a/benchmarks/waiting/scale.py
+++ b/benchmarks/waiting/scale.py
@@ -14,7 +14,6 @@
 from __future__ import annotations
 
 import asyncio
-import csv
 import gc
 import time
 import tracemalloc
@@ -32,6 +31,7 @@
 from millethead.exchange.records import Record
 from millethead.lab.clock import VirtualClock
 from millethead.lab.fleet import Fleet
+from millethead.lab.table import keep
 from millethead.net.exchange import LoopClock
 from millethead.waiting.ageing import aged_flow
 from millethead.waiting.room import WaitingRoom
@@ -175,21 +175,12 @@
     return asyncio.run(second(due, later))
 
 
-def write(path: Path, rows: list[dict[str, Any]]) -> None:
-    with path.open("w", newline="") as file:
-        writer = csv.DictWriter(file, list(rows[0]), lineterminator="\n")
-        writer.writeheader()
-        writer.writerows(rows)
-    for row in rows:
-        print(" ".join(f"{k}={v}" for k, v in row.items()))
-
-
 def main() -> None:
     out = Path(docopt(__doc__ or "")["--out"])
     out.mkdir(parents=True, exist_ok=True)
     with ProcessPoolExecutor(max_workers=1, max_tasks_per_child=1) as pool:
-        write(out / "scale.csv", [pool.submit(costs, size).result() for size in SIZES])
-        write(out / "storm.csv", [pool.submit(storm, *what).result() for what in
+        keep(out / "scale.csv", [pool.submit(costs, size).result() for size in SIZES])
+        keep(out / "storm.csv", [pool.submit(storm, *what).result() for what in
                                    ((0,), (10_000,), (0,), (10_000,), (0,), (10_000,), (0, 100_000))])
 
 
--- a/millethead/door/door.py
+++ b/millethead/door/door.py
@@ -17,7 +17,7 @@
 from millethead.door.window import Window
 from millethead.exchange.model import Answer, Cancellable, Clock, Final, Order
 from millethead.exchange.records import Record
-from millethead.exchange.stage import Amendment, Finished, Reply, Stage, Unusable
+from millethead.exchange.stage import Amendment, Finished, Reply, Stage, Unusable, one_by_one
 from millethead.logs import Sparing
 
 LOOK = 5.0  # ms between two looks while jobs stand at the door
@@ -135,13 +135,7 @@
         return guest.number
 
     def arrive_all(self, orders: Sequence[tuple[Order, Reply]]) -> list[int | Unusable]:
-        out: list[int | Unusable] = []
-        for order, reply in orders:
-            try:
-                out.append(self.arrive(order, reply))
-            except Unusable as why:
-                out.append(why)
-        return out
+        return one_by_one(self, orders)
 
     def withdraw(self, number: int) -> None:
         guest = self._guests.get(number)
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -30,7 +30,7 @@
     Worker,
 )
 from millethead.exchange.records import WITHDRAWN, Record, Records
-from millethead.exchange.stage import Amendment, Finished, Reply, Unusable
+from millethead.exchange.stage import Amendment, Finished, Reply, Unusable, one_by_one
 from millethead.logs import Sparing
 
 HELD = 4096  # jobs held at once; the sockets bound them further
@@ -132,13 +132,7 @@
         return order.again and known.final is Final.REFUSED and (safe or not known.may_have_run)
 
     def arrive_all(self, orders: Sequence[tuple[Order, Reply]]) -> list[int | Unusable]:
-        out: list[int | Unusable] = []
-        for order, reply in orders:
-            try:
-                out.append(self.arrive(order, reply))
-            except Unusable as why:
-                out.append(why)
-        return out
+        return one_by_one(self, orders)
 
     def amend(self, amendment: Amendment) -> None:
         """Nothing is held back here: a job waits for a worker, or has started."""
--- a/millethead/exchange/stage.py
+++ b/millethead/exchange/stage.py
@@ -84,3 +84,14 @@
 
     def close(self, empty: Callable[[], None]) -> None:
         """Take nothing more; `empty` is called when all that is held has its answer."""
+
+
+def one_by_one(stage: Stage, orders: Sequence[tuple[Order, Reply]]) -> list[int | Unusable]:
+    """`arrive_all` of a stage to which jobs that come together are nothing special."""
+    out: list[int | Unusable] = []
+    for order, reply in orders:
+        try:
+            out.append(stage.arrive(order, reply))
+        except Unusable as why:
+            out.append(why)
+    return out
