Keep one check of repeated ids and plans for all stages; take out what nothing used

Need: the answer to an id that is known stood in the exchange and again in the waiting room, the outcome of a job that a stage ended was put together twice, the limit of 64 parents stood in both fronts, and tests had a clock of their own beside the lab's. Gone: Drain.scale, Promise.cost, Line's iterator, Bounds.ages, a list of one amendment, a count that was set back to nothing.

--- a/millethead/door/promises.py
+++ b/millethead/door/promises.py
@@ -39,15 +39,10 @@
                 self.rate += (rate - self.rate) * min(1.0, span / SMOOTH)
             self._done, self._since = 0.0, now
 
-    def scale(self, factor: float) -> None:
-        """The capacity changed at this moment: workers went dark, drained or came back."""
-        self.rate *= factor
-
 
 @dataclass(slots=True, eq=False)
 class Promise:
     at: float
-    cost: float
     sure: bool = True
     open: bool = True
 
@@ -82,7 +77,7 @@
         while number < last and (taken := self._slots.get((tenant, number), 0.0)) and taken + cost > room:
             number += 1
         self._slots[tenant, number] = self._slots.get((tenant, number), 0.0) + cost
-        promise = Promise(number * SLOT, cost, number < last)
+        promise = Promise(number * SLOT, number < last)
         key = (tenant, client)
         self._by_client.setdefault(key, deque()).append(promise)
         self._given.append((key, promise))
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -30,15 +30,13 @@
     Worker,
 )
 from millethead.exchange.records import WITHDRAWN, Record, Records
-from millethead.exchange.stage import Amendment, Finished, Reply, Unusable, one_by_one
-from millethead.logs import Sparing
+from millethead.exchange.stage import Amendment, Finished, Reply, Unusable, no_plan, one_by_one, repeated
 
 HELD = 4096  # jobs held at once; the sockets bound them further
 BODIES = 32 << 20  # bytes of all bodies held
 OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
 
 log = structlog.get_logger()
-sparing_log = Sparing()
 
 
 @dataclass(slots=True)
@@ -101,15 +99,10 @@
     def arrive(self, order: Order, reply: Reply) -> int:
         """Take a job in; `reply` is called once with its final answer unless it is withdrawn first."""
         now, name = self.clock.now(), (order.origin, order.id)
-        if order.plan is not None and (order.plan.after or order.plan.at > now):
-            raise Unusable("jobs for a later time, or after others, are not taken here")
+        no_plan(order, now)
         known = self.record(*name)
         if known is not None and not self._offered_again(order, known):
-            # ids are never reused, a client's retry included: this is the same job again, which could charge
-            # twice, or somebody else's under its name, which workers turn away
-            sparing_log.warning("job_id_repeated", job=order.id)
-            reply(Answer(Final.FAILED))
-            return 0
+            return repeated(order, reply)
         if self.closing or len(self._jobs) >= HELD or self._bodies + len(order.body) > BODIES:
             log.warning("job_not_taken", job=order.id, closing=self.closing, held=len(self._jobs))
             reply(Answer(Final.REFUSED))
--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -27,6 +27,9 @@
     pause: float = 0.0
 
 
+PARENTS = 64  # jobs that one job may wait for
+
+
 @dataclass(slots=True, frozen=True)
 class Plan:
     """When a job may run: not before `at` (Unix time in ms by the wall clock, 0: at once), and only after the
--- a/millethead/exchange/records.py
+++ b/millethead/exchange/records.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from millethead.exchange.model import Final
+from millethead.exchange.model import Answer, Final
 
 KEPT = 32768  # outcomes remembered
 KEPT_FOR = 600_000.0  # ms that an outcome is remembered
@@ -26,6 +26,12 @@
     state: str = ""
 
 
+def ended_unsent(answer: Answer | None, came: float, now: float) -> Record:
+    """The outcome of a job that a stage ended before any worker had it (None: it was withdrawn)."""
+    return Record(now, answer.final if answer is not None else None, came=came, ended=True,
+                  state=WITHDRAWN if answer is None else "")
+
+
 class Records:
     """Outcomes by (origin, id): the oldest go first, by number and by age."""
 
--- a/millethead/exchange/stage.py
+++ b/millethead/exchange/stage.py
@@ -11,9 +11,11 @@
 from typing import Protocol
 
 from millethead.decide.interface import Settings
-from millethead.exchange.model import Answer, Order
+from millethead.exchange.model import Answer, Final, Order
 from millethead.exchange.records import Record
+from millethead.logs import Sparing
 
+sparing_log = Sparing()
 Reply = Callable[[Answer], None]
 Finished = Callable[[Order, Answer | None, float, float], None]  # (order, answer, came, ended), ms
 
@@ -86,6 +88,20 @@
         """Take nothing more; `empty` is called when all that is held has its answer."""
 
 
+def repeated(order: Order, reply: Reply) -> int:
+    """The answer to an id that is known. Ids are never reused, a client's retry included: this is the same job
+    again, which could charge twice, or somebody else's under its name, which workers turn away."""
+    sparing_log.warning("job_id_repeated", job=order.id)
+    reply(Answer(Final.FAILED))
+    return 0
+
+
+def no_plan(order: Order, now: float) -> None:
+    """Raises Unusable where a job that must wait reaches a stage that holds none back."""
+    if order.plan is not None and (order.plan.after or order.plan.at > now):
+        raise Unusable("jobs for a later time, or after others, are not taken here")
+
+
 def one_by_one(stage: Stage, orders: Sequence[tuple[Order, Reply]]) -> list[int | Unusable]:
     """`arrive_all` of a stage to which jobs that come together are nothing special."""
     out: list[int | Unusable] = []
--- a/millethead/fronts/faktory/jobs.py
+++ b/millethead/fronts/faktory/jobs.py
@@ -8,7 +8,7 @@
 from math import inf
 from typing import Any
 
-from millethead.exchange.model import Attempt, Order, Plan
+from millethead.exchange.model import PARENTS, Attempt, Order, Plan
 from millethead.fronts.faktory.resp import BadCommand
 from millethead.fronts.faktory.setup import FaktorySetup
 from millethead.fronts.times import read_rfc3339
@@ -17,7 +17,6 @@
 ORIGIN = "faktory"
 RESERVE = 1800.0  # s, the protocol's default
 TARGET = "/api"
-PARENTS = 64  # jids in custom.after
 _JID = re.compile(r"[0-9A-Za-z_-]{8,64}")
 
 
--- a/millethead/fronts/faktory/session.py
+++ b/millethead/fronts/faktory/session.py
@@ -193,8 +193,7 @@
 
     async def mutate(self, rest: str) -> bytes:
         """Jobs that wait here are withdrawn or made due (the protocol's Mutate API)."""
-        for amendment in read_mutate(resp.read_object(rest)):
-            self.stage.amend(amendment)
+        self.stage.amend(read_mutate(resp.read_object(rest)))
         return resp.simple("OK")
 
     async def track(self, rest: str) -> bytes:
@@ -274,8 +273,8 @@
 _heard = _Heard()
 
 
-def read_mutate(mutation: dict[str, Any]) -> list[Amendment]:
-    """What a MUTATE asks for, one for each set of jobs that it names; raises BadCommand."""
+def read_mutate(mutation: dict[str, Any]) -> Amendment:
+    """What a MUTATE asks for; raises BadCommand."""
     cmd, target, chosen = mutation.get("cmd"), mutation.get("target"), mutation.get("filter") or {}
     if cmd not in ("clear", "discard", "requeue"):
         raise resp.BadCommand("cmd: clear, discard or requeue is wanted: nothing dead is kept here")
@@ -291,7 +290,7 @@
         raise resp.BadCommand("filter: jids is a list of jids, jobtype a text")
     if cmd != "clear" and jids is None and not jobtype:
         raise resp.BadCommand("filter: jids or a jobtype are wanted")
-    return [Amendment(ORIGIN, target, None if jids is None else frozenset(jids), jobtype, cmd == "requeue")]
+    return Amendment(ORIGIN, target, None if jids is None else frozenset(jids), jobtype, cmd == "requeue")
 
 
 def tracked(jid: str, record: Record | None) -> dict[str, Any]:
--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from millethead.decide import interface as api
-from millethead.exchange.model import Answer, Final, Order, Plan
+from millethead.exchange.model import PARENTS, Answer, Final, Order, Plan
 from millethead.exchange.stage import Stage, Unusable
 from millethead.fronts.times import read_time
 from millethead.net.accept import Reply
@@ -21,7 +21,6 @@
 _KEY = re.compile(r"[!-~]{1,256}")  # passed on: a worker that cannot read a field closes the connection
 _COOKIE = re.compile(r"(?:^|;)\s*k=\"?([0-9A-Za-z_-]{1,64})\"?\s*(?:;|$)")
 _ATTRS = {"slots": "slots", "needs": "slots", "memory": "memory", "mem_needed": "memory"}
-PARENTS = 64  # ids in X-Run-After
 METHODS = {"/api": "POST", "/_jobs/news": "POST", "/up": "GET"}
 
 
--- a/millethead/lab/clock.py
+++ b/millethead/lab/clock.py
@@ -61,7 +61,7 @@
     def now(self) -> float:
         return self._start + (time.monotonic() - self._began) * 1000 * self.speed
 
-    def wall(self) -> float:  # type: ignore[override]
+    def wall(self) -> float:
         return self.now() + self.ahead
 
     def later(self, delay: float, call: Callable[[], None]) -> _Timer:
--- a/millethead/net/exchange.py
+++ b/millethead/net/exchange.py
@@ -32,8 +32,7 @@
     def now(self) -> float:
         return (time.monotonic() + self._offset) * 1000
 
-    @staticmethod
-    def wall() -> float:
+    def wall(self) -> float:
         """Unix time in ms as the machine says it now; it may be stepped either way."""
         return time.time() * 1000
 
--- a/millethead/waiting/ageing.py
+++ b/millethead/waiting/ageing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -38,9 +38,6 @@
     def __init__(self, setup: WaitingSetup, names: Sequence[str]) -> None:
         self._bounds = [setup.classes[name].bound_s * 1000 if name in setup.classes else None for name in names]
 
-    def ages(self, job_class: int) -> bool:
-        return self._bounds[job_class] is not None
-
     def end(self, order: Order, cls: JobClass, due: float) -> float:
         """When a job that is due at `due` owes its final answer: its client's own time, but not above what
         the class allows."""
@@ -52,7 +49,7 @@
                  end: float) -> bool:
         """Whether a job that had this answer goes back to wait. What may have run does so only if it may be
         repeated: the module that refused it has forgotten where and when it ran."""
-        if answer.final is not Final.REFUSED or not self.ages(order.job_class) or now >= end - LEAST:
+        if answer.final is not Final.REFUSED or self._bounds[order.job_class] is None or now >= end - LEAST:
             return False
         return cls.effect is Effect.SAFE or record is None or not record.may_have_run
 
@@ -90,10 +87,6 @@
             if not queue:
                 del self._waiting[key]
 
-    def __iter__(self) -> Iterator[Entry]:
-        for queue in self._waiting.values():
-            yield from queue.values()
-
     def next(self, now: float) -> Entry | None:
         """The next one to offer, if there is room for one among those offered."""
         if not self._count or now < self._after:
--- a/millethead/waiting/book.py
+++ b/millethead/waiting/book.py
@@ -404,8 +404,8 @@
             self._line(entry).drop(entry)
         if entry.end < inf:
             self._ends.drop(entry.end, entry.number)
-        self._to(entry, State.ENDED)
-        self.counts[State.ENDED] = 0
+        self.counts[entry.state] -= 1
+        entry.state = State.ENDED
         del self.entries[entry.number], self._ids[order.origin][order.id]
         if entry.kept:
             self.kept -= 1
--- a/millethead/waiting/room.py
+++ b/millethead/waiting/room.py
@@ -17,8 +17,8 @@
 
 from millethead.decide.interface import Settings
 from millethead.exchange.model import Answer, Cancellable, Final, Order
-from millethead.exchange.records import WITHDRAWN, Record, Records
-from millethead.exchange.stage import Amendment, Finished, Reply, Stage, Unusable
+from millethead.exchange.records import Record, Records, ended_unsent
+from millethead.exchange.stage import Amendment, Finished, Reply, Stage, Unusable, repeated
 from millethead.logs import Sparing
 from millethead.waiting.batch import in_order
 from millethead.waiting.book import Book, Close, Entry, Full, Offer, State, Why
@@ -101,9 +101,7 @@
 
     def arrive(self, order: Order, reply: Reply) -> int:
         if self.record(order.origin, order.id) is not None:
-            sparing_log.warning("job_id_repeated", job=order.id)
-            reply(Answer(Final.FAILED))
-            return 0
+            return repeated(order, reply)
         try:
             entry = self.book.arrive(order, reply, self._known, self.clock.now(), self.clock.wall())
         except Full as full:
@@ -233,9 +231,7 @@
         entry.reply = None
         # what waited here and met no room in the next stage is known there by nobody
         if close.why is not None or (entry.kept and self.inner.record(order.origin, order.id) is None):
-            record = Record(now, answer.final if answer is not None else None, came=entry.came, ended=True,
-                            state=WITHDRAWN if answer is None else "")
-            self._records.put((order.origin, order.id), record, now)
+            self._records.put((order.origin, order.id), ended_unsent(answer, entry.came, now), now)
             if close.why is not None and close.why is not Why.FULL:
                 log.info("job_" + (answer.final.value if answer is not None else "withdrawn"), job=order.id,
                          why=close.why.value, after_ms=round(now - entry.came))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,5 @@
 """The core alone, with a clock and sides of its own: one answer for each job, whatever comes."""
 
-import heapq
 import subprocess
 import sys
 import unittest
@@ -8,34 +7,13 @@
 
 from millethead.decide import interface as api
 from millethead.exchange import Exchange, Final, Listed, Order
+from millethead.lab.clock import VirtualClock
 
 SAFE = api.JobClass(deadline=5000, aim=2000, stretch=2, effect=api.Effect.SAFE)
 UNSAFE = api.JobClass(deadline=5000, aim=2000, stretch=2)
 SETTINGS = api.Settings(classes=(SAFE, UNSAFE), may_cancel=True, max_attempts=3, tick=5.0)
 
 
-class Clock:
-    def __init__(self):
-        self.time, self.count, self.due = 1000.0, 0, []
-
-    def now(self):
-        return self.time
-
-    def later(self, delay, call):
-        self.count += 1
-        timer = mock.Mock(call=call, off=False)
-        timer.cancel = lambda: setattr(timer, "off", True)
-        heapq.heappush(self.due, (self.time + delay, self.count, timer))
-        return timer
-
-    def run(self, until):
-        while self.due and self.due[0][0] <= until:
-            self.time, _, timer = heapq.heappop(self.due)
-            if not timer.off:
-                timer.call()
-        self.time = until
-
-
 class Side:
     def __init__(self):
         self.started, self.given_up = [], []
@@ -52,7 +30,7 @@
 
 class Core(unittest.TestCase):
     def setUp(self):
-        self.clock, self.side, self.answers = Clock(), Side(), []
+        self.clock, self.side, self.answers = VirtualClock(1000.0), Side(), []
         self.exchange = Exchange(SETTINGS, 1, self.clock)
         self.exchange.listed(self.side, api.ListForm.FULL, [Listed("w1"), Listed("w2")])
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -100,13 +100,16 @@
 
 
 class Signals(unittest.IsolatedAsyncioTestCase):
+    async def start(self, path):
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "millethead", "serve", cwd=ROOT, stdout=subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(path)})
+
     async def test_sigterm_ends_an_idle_program_with_0(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
             path.write_text(json.dumps(CONFIG))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "millethead", "serve", cwd=ROOT, stdout=subprocess.PIPE,
-                env={**os.environ, "BALANCER_CONFIG": str(path)})
+            process = await self.start(path)
             while b"event=serving" not in (line := await process.stdout.readline()):
                 self.assertTrue(line, "the program ended before it served")
             process.send_signal(signal.SIGTERM)
@@ -120,9 +123,7 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
             path.write_text(json.dumps(CONFIG))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "millethead", "serve", cwd=ROOT, stdout=subprocess.PIPE,
-                env={**os.environ, "BALANCER_CONFIG": str(path)})
+            process = await self.start(path)
             for text, want in ((None, b"event=serving"), ("{", b"event=reload_failed"),
                                (json.dumps({**CONFIG, "listen": "127.0.0.1:1"}), b"needs_restart=listen")):
                 if text is not None:
