door: a repeated id is failed at the door, and outcomes there are remembered

Seen on reading the change again: an id that came while its job stood at the door was handed on to the exchange, which did not know it and ran it in place of the one that stood there. A job with a time in the past went the same way, under a number that could be another job's, so that its client's leaving withdrew that one. And what the door refused after +OK was unknown to TRACK. Change: the door answers a known id as the other stages do, checks plans by the same rule as the exchange, and keeps the outcomes of those that end there. Result: two tests, both failing without this. The door is off unless set up.

--- a/millethead/door/door.py
+++ b/millethead/door/door.py
@@ -16,8 +16,8 @@
 from millethead.door.setup import DoorSetup
 from millethead.door.window import Window
 from millethead.exchange.model import Answer, Cancellable, Clock, Final, Order
-from millethead.exchange.records import Record
-from millethead.exchange.stage import Amendment, Finished, Reply, Stage, Unusable, one_by_one
+from millethead.exchange.records import Record, Records, ended_unsent
+from millethead.exchange.stage import Amendment, Finished, Reply, Stage, Unusable, no_plan, one_by_one, repeated
 from millethead.logs import Sparing
 
 LOOK = 5.0  # ms between two looks while jobs stand at the door
@@ -57,6 +57,7 @@
         self._guests: dict[int, Guest] = {}
         self._standing: dict[tuple[str, str], Guest] = {}
         self._unsent: dict[int, Guest] = {}
+        self._records = Records()  # of those that ended at the door
         self._bytes = self._numbers = 0
         self._timer: Cancellable | None = None
         self._swept = -inf
@@ -95,14 +96,15 @@
         guest = self._standing.get((origin, job_id))
         if guest is not None:
             return Record(guest.item.came, came=guest.item.came, state="queued")
-        return self.inner.record(origin, job_id)
+        return self.inner.record(origin, job_id) or self._records.get((origin, job_id))
 
     # ---- events --------------------------------------------------------------------------------------
 
     def arrive(self, order: Order, reply: Reply) -> int:
         now, name = self.clock.now(), (order.origin, order.id)
-        if order.plan is not None or name in self._standing:
-            return self.inner.arrive(order, reply)  # which knows what is wrong with it
+        no_plan(order, now)
+        if name in self._standing or (self._records.get(name) is not None and not order.again):
+            return repeated(order, reply)
         if self._leaving:
             reply(Answer(Final.REFUSED))
             return 0
@@ -262,10 +264,12 @@
         reply, guest.reply = guest.reply, None
         if guest.called and answer is not None:
             self.promises.kept(False, "stopping" if self._leaving else "too_late")
+        order, now = guest.order, self.clock.now()
+        self._records.put((order.origin, order.id), ended_unsent(answer, guest.item.came, now), now)
         if answer is not None and reply is not None:
             reply(answer)
         if self._finished is not None:
-            self._finished(guest.order, answer, guest.item.came, self.clock.now())
+            self._finished(order, answer, guest.item.came, now)
 
 
 def _weights(settings: Settings) -> list[float]:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -14,6 +14,8 @@
 from millethead.door.setup import DoorSetup
 from millethead.door.window import INTERVAL, Window
 from millethead.exchange import Final, Order
+from millethead.exchange.model import Plan
+from millethead.exchange.stage import Unusable
 from millethead.lab.clock import VirtualClock
 
 
@@ -171,6 +173,24 @@
         self.assertEqual([a[:2] for a in self.answers], [("late", Final.REFUSED)])
         self.assertEqual((self.door._bytes, len(self.door.queue)), (0, 0))
 
+    def test_an_id_that_stands_at_the_door_is_not_run_when_it_comes_again_and_outcomes_there_are_known(self):
+        """It was handed on, past the one that stood there."""
+        for n in range(3):
+            self.come(f"j{n}", left=1000.0)
+        self.assertEqual(self.come("j2"), 0)
+        self.assertEqual((self.answers, list(self.inner.taken)), ([("j2", Final.FAILED, 0.0)], ["j0", "j1"]))
+        self.clock.run(self.clock.now() + 1000)
+        self.assertEqual(self.door.record("http", "j2").final, Final.REFUSED)
+        self.assertEqual(self.come("j2"), 0)
+        self.assertEqual([a[1] for a in self.answers], [Final.FAILED, Final.REFUSED, Final.FAILED])
+
+    def test_a_plan_for_later_is_an_error_and_one_for_the_past_is_a_job_like_others(self):
+        with self.assertRaises(Unusable):
+            self.door.arrive(Order("a", 0, 5000.0, plan=Plan(self.clock.now() + 1)), self.answers.append)
+        number = self.door.arrive(Order("b", 0, 5000.0, plan=Plan(self.clock.now())), self.answers.append)
+        self.door.withdraw(number)
+        self.assertEqual((self.inner.left, self.door.held), (["b"], 0))
+
     def test_sigterm_answers_all_who_stand_there_and_a_client_may_leave(self):
         for n in range(4):
             number = self.come(f"j{n}")
