Spread calls to discovery in turn over the dispatchers, with one retry under way at a time

Ruled out: start-up (ready after 0.2 to 0.3 s), CPU (at most 0.26 s in a second of 0.85), memory (17 of 80 MB).

Lines at fault: Balancer._watch_later (4 ms a node of spread), _timer (each WATCHING guard made a further call and a further guard, and none was ever taken back), Discovery._run (after two failures a whole list before each watch).

Change: nodes ask in the order of their indexes over min(ask_every/2, 3 ms n^2); only the last timer counts; the whole list is asked for only where watches are answered with something other than a stream.

--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -8,12 +8,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 from heapq import heappop, heappush
 from itertools import islice
 from math import ceil, floor, inf
 from random import Random
-from struct import Struct
 
 from millethead.decide import interface as api
 from millethead.decide.interface import NEVER_RAN, Effect, Group, ListForm, Outcome, WorkerState
@@ -28,16 +26,14 @@
 KEY_MEMORY = 4000  # jobs after which half the count of each key is forgotten
 CELLS = 65536  # repeat groups below are zones, from here on cells
 ALONE = CELLS - 1  # the group of a job that may have run at a worker that drops no repeats: nobody is in it
+ASK_APART = 3.0  # ms by which calls of n nodes to discovery are spread, times n * n: what n at once wait in all
 SCAN = 24  # workers looked at for one release; the fleet is never ranked
 PROBES = 3  # probes in one wave
-NOTE = Struct("<BIB")  # what nodes tell each other: one of the four below, a worker, a number of slots
-ASK, LOAD, SENT, ENDED = range(4)
-NOTES_PRICE = 0.005  # what these may cost for a job, in the unit of the prices; a job takes about ten notes
 OVERDUE, GRACE = 2.0, 600.0  # hinted running times, and ms, after which an attempt is overdue
 SHUN, PROVEN, UNSEEN = 12_000.0, 2000.0, 600.0  # ms: how long, what proves health, how late reports may be
 TAKE = 800.0  # ms for a worker that confirms to say that it has taken a job, which costs it next to nothing
 ODD = 4  # jobs in a row that a worker calls unusable before that is held against the worker
-DEADLINE, SWEEPING, WATCHING, ASKED, TAKING = range(5)  # low bits of a timer token
+DEADLINE, SWEEPING, WATCHING, TAKING = range(4)  # low bits of a timer token
 
 
 class _Worker:
@@ -131,13 +127,6 @@
         self.work = sum(self.took) / len(self.took)  # slot-ms of a mean job
         self.slots = 1.0  # slots of a mean job
         self.period = 0.0  # how long a report stays the same, learned
-        # where probing is not allowed but telling is, each worker has one node that counts its jobs and is
-        # asked in its place; not where key homes keep a node to few workers, whose reports then come often
-        self.counted = settings.may_tell and not settings.may_probe and settings.nodes > 1 and (
-            not settings.price_fetch and settings.price_peer * 10 * NOTE.size / 256 <= NOTES_PRICE)
-        self.counts: dict[int, deque[tuple[float, int, int]]] = {}  # worker -> (until, node, slots)
-        self.reply = 20.0  # how long a node takes to answer, learned
-        self.asks = settings.may_probe or self.counted
         self.trust = 1.0  # part of a reported gap that this node may count on; the other nodes see it too
         self.keys: dict[int, float] = {}  # how often each key came lately
         self.keyed = 0.0
@@ -146,7 +135,7 @@
         self.look = SWEEP
         self.waiting = self.tickets = self.own = 0
         self.sweeping = self.watching = self.asked = False
-        self.backoff = 0.0
+        self.backoff = self.due = 0.0
         self.flows = [_Flow(n) for n in range(max(1, len(settings.tenants)))]
         self.reconfigure(settings)
 
@@ -189,8 +178,6 @@
                 job = self.jobs.get(event.job)
                 if job is not None:
                     job.end = inf  # the attempt belongs to the client now
-            case api.PeerMessage():
-                self._note(event, out)
             case api.AttemptTaken() if event.job in self.jobs:
                 self.jobs[event.job].taken.add(event.attempt)
         return out
@@ -229,10 +216,17 @@
         self._sweep(out)
 
     def _watch_later(self, out: list[api.Action]) -> None:
-        """Ask for the list after a jittered wait: nodes that start together must not ask together."""
-        spread = min(self.set.ask_every / 3, 4.0 * self.set.nodes)
-        self.backoff = min(self.set.ask_every / 2, 2 * self.backoff + spread)
-        out.append(api.SetTimer(WATCHING, self.rng.random() * self.backoff))
+        """Ask for the list in turn: discovery works off one call after another, those too that have given up
+        waiting, so nodes that start or fail together must come spread over its time and not at once (herd)."""
+        n, longest = self.set.nodes, self.set.ask_every / 2
+        spread = min(longest, ASK_APART * n * n)
+        first = spread * (self.set.node + self.rng.random()) / n
+        self._watch_at(self.rng.random() * self.backoff if self.backoff else first, out)
+        self.backoff = min(longest, 2 * self.backoff + spread)
+
+    def _watch_at(self, wait: float, out: list[api.Action]) -> None:
+        self.due = self.now + wait  # timers are not taken back: only the last one counts
+        out.append(api.SetTimer(WATCHING, wait))
 
     def _pool(self, kind: int | None, group: int, near: int) -> list[_Worker]:
         """The open workers of a kind (and repeat group), in a shuffled order; near: 1 own zone, 0 others,
@@ -388,7 +382,6 @@
         out.append(api.Send(job.id, w.id))
         if w.confirms and self.set.parallel_attempts:
             out.append(api.SetTimer(job.id << 3 | TAKING, TAKE))
-        self._say(SENT, w, job.slots, out)
 
     # ---- the pick ----------------------------------------------------------------------------------
 
@@ -437,15 +430,10 @@
     def _ask(self, stale: list[_Worker], out: list[api.Action]) -> None:
         for w in stale[:PROBES]:
             w.probing = True
-            if self.counted:
-                w.asked = self.now
-                out.append(api.SetTimer(w.id << 3 | ASKED, 4 * self.reply))
-                self._say(ASK, w, 0, out)
-            else:
-                out.append(api.Probe(w.id))
+            out.append(api.Probe(w.id))
 
     def _draw(self, among: list[_Worker], job: _Job, stale: list[_Worker]) -> _Worker | None:
-        rooms, total, probes, alarm = [], 0.0, self.asks, self.alarm.get(job.cls, -inf)
+        rooms, total, probes, alarm = [], 0.0, self.set.may_probe, self.alarm.get(job.cls, -inf)
         once = self.set.classes[job.cls].effect is Effect.UNSAFE
         for w in among:
             if not self._fits(job, w):
@@ -492,10 +480,10 @@
         if w.exact:
             return w.free + own
         room = int(w.free * self.trust + w.luck) + own
-        if self._old(w) and (self.asks or not w.held):
+        if self._old(w) and (self.set.may_probe or not w.held):
             # unasked, it counts as one slot only when the queue it last reported can have drained: many nodes
             # that each try a slot in passing fill the workers' queues, where no tag decides
-            full = 0.0 if self.asks else self.busy.get(w.zone, 0.0)
+            full = 0.0 if self.set.may_probe else self.busy.get(w.zone, 0.0)
             rest = self.work / self.slots * full * w.queued
             return min(room, 1.0) if self.now - w.heard < rest else max(min(room, 1.0), 1.0 - w.held)
         return room
@@ -516,9 +504,7 @@
         if report is None or report.free_slots is None:
             return
         raw = (report.free_slots, report.queued, report.held, report.busy)
-        if self.counted:
-            pass  # counts are new when they are told: the age of reports says nothing of them
-        elif raw == w.raw and any(x is not None and x != int(x) for x in raw):
+        if raw == w.raw and any(x is not None and x != int(x) for x in raw):
             self.period = max(self.period, now - w.heard)  # the same snapshot again
             return
         self.period *= 0.999
@@ -540,12 +526,7 @@
             self.size[w.kind] = size
         w.memory = inf if report.free_memory is None else report.free_memory
         w.exact = report.exact
-        if not self.counted:
-            self._heard(w)
-
-    def _heard(self, w: _Worker) -> None:
-        """Take over what was just heard of the free slots."""
-        now, w.heard = self.now, self.now
+        w.heard = now
         self.busy[w.zone] = self.busy.get(w.zone, 0.0) + 0.05 * ((w.free < 1) - self.busy.get(w.zone, 0.0))
         w.stamp = now if w.exact else now - 0.85 * self.period
         w.ended = [] if w.exact else [x for x in w.ended if x[0] >= w.stamp]
@@ -553,47 +534,6 @@
         if w.stamp > w.full:
             w.shy = -inf
 
-    # ---- asking the node that counts -----------------------------------------------------------------
-
-    def _say(self, what: int, w: _Worker, slots: int, out: list[api.Action]) -> None:
-        if self.counted:
-            node = _mix(w.salt) % self.set.nodes
-            if node == self.set.node:
-                self._take(what, w, slots, node, out)
-            else:
-                out.append(api.TellPeers(NOTE.pack(what, w.id, slots), node))
-
-    def _note(self, e: api.PeerMessage, out: list[api.Action]) -> None:
-        if self.counted and len(e.payload) == NOTE.size:
-            what, worker, slots = NOTE.unpack(e.payload)
-            w = self.workers.get(worker)
-            if w is not None:
-                self._take(what, w, slots, e.sender, out)
-
-    def _take(self, what: int, w: _Worker, slots: int, sender: int, out: list[api.Action]) -> None:
-        count = self.counts.setdefault(w.id, deque())
-        while count and count[0][0] <= self.now:  # its node died, or the note was lost
-            count.popleft()
-        if what == SENT:
-            count.append((self.now + max(c.deadline for c in self.set.classes), sender, slots))
-        elif what == ENDED:
-            mine = next((x for x in count if x[1:] == (sender, slots)), None)
-            if mine:
-                count.remove(mine)
-        elif what == ASK:
-            load = min(255, sum(x[2] for x in count))
-            if sender == self.set.node:
-                self._take(LOAD, w, load, sender, out)
-            else:
-                out.append(api.TellPeers(NOTE.pack(LOAD, w.id, load), sender))
-        elif what == LOAD and w.probing:
-            w.probing = False
-            self.reply += 0.05 * (self.now - w.asked - self.reply)
-            w.free = self.held.get(w.kind, self.size.get(w.kind, 1.0)) - slots
-            w.memory = inf
-            self._heard(w)
-            self._release(w, out)
-
     # ---- cold workers ------------------------------------------------------------------------------
 
     def _cost(self, job: _Job) -> float:
@@ -631,7 +571,6 @@
             self.own -= job.slots
             if e.outcome not in NEVER_RAN:
                 w.ended.append((now, sent, job.slots))
-            self._say(ENDED, w, job.slots, out)
         w.odd = w.odd + 1 if e.unusable else 0
         if w.odd > ODD or not e.unusable:
             self._judge(w, job, e.outcome, e.elapsed, now)
@@ -755,20 +694,14 @@
             self.sweeping = False
             self.look = min(SWEEP_MOST, self.look * 1.5)
             self._sweep(out)
-        elif what == ASKED:
-            w = self.workers.get(token >> 3)
-            if w is not None and w.probing:  # the node that counts is down: the worker gets one job unasked
-                w.probing, w.free = False, 1.0
-                self._heard(w)
-                self._release(w, out)
         elif what == TAKING:
             job = self.jobs.get(token >> 3)
             if job is not None and not job.done and not job.waiting and len(job.out) == 1:
                 self._copy(job, out)
-        elif what == WATCHING and self.set.watch_needed and not self.watching:
+        elif what == WATCHING and self.set.watch_needed and not self.watching and self.now >= self.due - 1:
             self.asked = True
             out.append(api.WatchWorkers(True))
-            out.append(api.SetTimer(WATCHING, self.set.ask_every / 2 * (1 + self.rng.random())))
+            self._watch_at(self.set.ask_every / 2 * (1 + self.rng.random()), out)
 
     def _sweep_later(self, out: list[api.Action]) -> None:
         if not self.waiting:
@@ -796,7 +729,7 @@
     def _starved(self) -> bool:
         """Whether this node holds less than half its even share of the slots, by two slots or more."""
         size = sum(self.size.values()) / len(self.size) if self.size else 1.0
-        return not self.counted and self.own + 2 <= len(self.workers) * size / self.set.nodes / 2
+        return self.own + 2 <= len(self.workers) * size / self.set.nodes / 2
 
     def _knock(self, job: _Job, out: list[api.Action]) -> None:
         """Queue one job at a worker that shows no free slot. Nodes use a slot that comes back again at once,
--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -33,7 +33,9 @@
 ANSWER_TIME = 5.0  # s: calls wait in turn at discovery
 SILENCE = 7.0  # s: an empty line comes every 2 s
 LINE = 1 << 20
-ASK_AFTER = 2  # watches that failed in a row before the whole list is asked for instead
+# watches in a row that were answered with something else before the whole list is asked for instead: not those that
+# found discovery busy or gone, since a whole list costs it as much as several watches, and all nodes would ask at once
+ASK_AFTER = 2
 PAUSE, PAUSE_MOST = 0.25, 2.0  # s before asking, by failures: a list that came must not start a tight loop
 STATES = {"in_service": WorkerState.READY, "terminating": WorkerState.DRAINING,
           "terminated": WorkerState.GONE}
@@ -75,6 +77,10 @@
         return index, whole, [self.entry(line) for line in lines]
 
 
+class Busy(Exception):
+    """Discovery has more calls than it can answer, or is down."""
+
+
 class Discovery:
     """The exchange's roster. The module says when to watch; a watch that ends is told as a failed list."""
 
@@ -83,7 +89,7 @@
         self.exchange, self.side, self.address, self.names, self.path = exchange, side, address, names, path
         self.index: int | None = None
         self._conn: Connection | None = None
-        self._turn = self._failures = 0
+        self._turn = self._failures = self._unread = 0
 
     def known(self, raw: Any) -> None:
         """Start from the list of the last run, if it can be read."""
@@ -106,7 +112,7 @@
         anew there, so the whole list is wanted; until it comes, the last one stands."""
         if address != self.address:
             log.info("discovery_moves", address=f"{address[0]}:{address[1]}")
-            self.address, self.index, self._failures = address, None, 0
+            self.address, self.index, self._failures, self._unread = address, None, 0, 0
             self.watch(True)
 
     def ask(self) -> None:
@@ -121,11 +127,11 @@
     async def _run(self, turn: int, call: Callable[[int], Awaitable[None]]) -> None:
         why = "it ended"
         try:
-            if self._failures >= ASK_AFTER and call != self._ask:
-                await asyncio.sleep(min(PAUSE_MOST, PAUSE * self._failures))
+            if self._unread >= ASK_AFTER and call != self._ask:
+                await asyncio.sleep(min(PAUSE_MOST, PAUSE * self._unread))
                 await self._ask(turn)
             await call(turn)
-        except (Closed, Late, OSError) as error:
+        except (Busy, Closed, Late, OSError) as error:
             why = str(getattr(error, "real_error", None) or error) or type(error).__name__
         except (BadMessage, BadList, OverflowError, ValueError) as error:
             log.warning("discovery_bad_line", why=str(error))
@@ -137,7 +143,8 @@
                 return
         if turn == self._turn:
             self._failures += 1
-            log.info("discovery_lost", why=why, failures=self._failures)
+            if not self._failures & (self._failures - 1):  # the first, and ever fewer of those that follow
+                log.info("discovery_lost", why=why, failures=self._failures)
             self.stop()
             self.exchange.listed(self.side, ListForm.FAILED)
 
@@ -160,8 +167,7 @@
             response = await within(ANSWER_TIME, read_response(conn))
         finally:
             conn.close()
-        if response.status != 200:
-            raise Late(f"status {response.status}")
+        self._check(response.status)
         self._take(response.body, turn)
 
     async def _watch(self, turn: int) -> None:
@@ -172,8 +178,8 @@
             return
         self._conn = conn
         head = parse_response(await within(ANSWER_TIME, read_head(conn)))
-        if head.status != 200:
-            raise Late(f"status {head.status}")
+        self._check(head.status)
+        self._unread += 1  # until it has written something that can be read
         if body_length(head.fields) is not None:
             raise BadList("a watch that is no chunked answer")
         left, heard = b"", False
@@ -193,7 +199,14 @@
                 heard = True
                 if self._failures:
                     log.info("discovery_back", failures=self._failures)
-                self._failures = 0
+                self._failures = self._unread = 0
+
+    def _check(self, status: int) -> None:
+        if status in (429, 503):
+            raise Busy(f"status {status}")
+        if status != 200:
+            self._unread += 1
+            raise Late(f"status {status}")
 
     def _take(self, text: bytes, turn: int) -> None:
         index, whole, lines = self.names.read(json.loads(text))
