decide: look for turns at cold workers first, and count a heavy job by its hint

Seen: sends by the age of a worker's process over forty nodes. Half the fleet idle for 8 s, then all nodes at once.

Ruled out: the budget itself (a tenth to a half of it used), probes (200 to 1,300 a second reached these workers).

Lines at fault: _turn_ok (a turn is one node's of forty and lapsed after 375 ms), _pick (which seldom looks where the node has a turn), _cost (a job of 12 times a window's work went by the mean of its class).

Change: cold workers whose turn it is come first in the pick, turns last half the rule's window, 1.5 times what the worker can do is dealt (2.25 at the most within a window; the limit is 3), heavy jobs count by their own hint.

--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -32,6 +32,7 @@
 OVERDUE, GRACE = 2.0, 600.0  # hinted running times, and ms, after which an attempt is overdue
 SHUN, PROVEN, UNSEEN = 12_000.0, 2000.0, 600.0  # ms: how long, what proves health, how late reports may be
 TAKE = 800.0  # ms for a worker that confirms to say that it has taken a job, which costs it next to nothing
+BOLD = 1.5  # times what a cold worker can do that is dealt out: many turns lapse, and three times is the limit
 SHARED, OWN = 2.0, 8.0  # nodes that try one worker first, and the weight of that
 ODD = 4  # jobs in a row that a worker calls unusable before that is held against the worker
 DEADLINE, SWEEPING, WATCHING, TAKING = range(4)  # low bits of a timer token
@@ -380,7 +381,7 @@
         w.held += job.slots
         self.own += job.slots
         w.mine[job.id] = now + OVERDUE * job.own * self.pace.get(w.kind, 1.0) + GRACE, now, job
-        if w.started and now < w.started + self.set.cold_time:
+        if self._cold(w):
             w.turn = self._turn(w, now) + ceil(self._cost(job) / self.work) - 1
         out.append(api.Send(job.id, w.id))
         if w.confirms and self.set.parallel_attempts:
@@ -423,6 +424,8 @@
             if pool:
                 start = self.rng.randrange(len(pool))
                 own = self._own() if job.shape[3] < 0 and near else []
+                # a turn at a cold worker is short and seldom falls to a node that has a job: look for it first
+                own = [w for w in pool if w not in own and self._cold(w) and self._turn_ok(w, job)] + own
                 among = own + [w for w in (pool[start:] + pool[:start])[:SCAN] if w not in own]
                 w = self._draw(among, job, stale, own)
                 if w is not None:
@@ -557,24 +560,27 @@
     # ---- cold workers ------------------------------------------------------------------------------
 
     def _cost(self, job: _Job) -> float:
-        return job.slots * self.took[job.cls]
+        return job.slots * max(self.took[job.cls], job.own)
+
+    def _cold(self, w: _Worker) -> bool:
+        return 0 < w.started >= self.now - self.set.cold_time
 
     def _turn(self, w: _Worker, at: float) -> int:
         """A cold worker is sent what it can carry, no more. The work it can have done by `at` is cut into
         mean jobs, dealt to the nodes in turn; hash and node index spread the turns evenly."""
         s, t = self.set, max(0.0, at - w.started)
-        able = self.size.get(w.kind, 1.0) * t * (s.cold_from + (1 - s.cold_from) * t / 2 / s.cold_time)
+        able = BOLD * self.size.get(w.kind, 1.0) * t * (s.cold_from + (1 - s.cold_from) * t / 2 / s.cold_time)
         return floor(able / self.work / s.nodes + (w.salt / 2**32 + s.node / s.nodes) % 1.0)
 
     def _turn_ok(self, w: _Worker, job: _Job) -> bool:
         """A turn not taken soon lapses, so that saved turns of many nodes cannot fall into one window."""
         s, t = self.set, self.now - w.started
-        if not w.started or t > s.cold_time:
+        if not self._cold(w):
             return True
         share = s.cold_from + (1 - s.cold_from) * t / s.cold_time
         budget = s.fall_multiple * share * self.size.get(w.kind, 1.0) * s.fall_window
         turn = self._turn(w, self.now)
-        return (turn > w.turn and turn > self._turn(w, self.now - s.fall_window / 4)
+        return (turn > w.turn and turn > self._turn(w, self.now - s.fall_window / 2)
                 and self._cost(job) < budget / 2)
 
     # ---- what comes back ---------------------------------------------------------------------------
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,8 @@
 """What many nodes do to each other: many instances of the module on virtual time, and what each is to keep to."""
 
+import sys
 from collections import Counter, deque
+from dataclasses import replace
 from unittest import mock
 
 import numpy as np
@@ -30,16 +32,17 @@
 
 
 class Fleet:
-    def __init__(self, seed, rate):
+    def __init__(self, seed, rate, cold=0):
         self.clock, self.rng = VirtualClock(), np.random.default_rng(seed)
-        entries = tuple(api.WorkerEntry(7919 * n + 1, zone=n % 2) for n in range(WORKERS))
+        self.began = self.clock.now()
+        entries = tuple(api.WorkerEntry(7919 * n + 1, zone=n % 2, started=self.clock.now() if n < cold else 0.0)
+                        for n in range(WORKERS))
         self.machines = {e.worker: Machine(self.clock) for e in entries}
-        self.nodes, self.waits, self.sent = [], [], Counter()
+        self.nodes, self.waits, self.sent, self.sends = [], [], Counter(), []
         for machine in self.machines.values():
             self.clock.later(self.rng.random() * LATE, machine.snap)
         for n in range(NODES):
-            made = api.Settings(**{f: getattr(SET, f) for f in SET.__slots__} | {"node": n, "zone": n % 2})
-            self.nodes.append(balance.Balancer(made, n))
+            self.nodes.append(balance.Balancer(replace(SET, node=n, zone=n % 2), n))
             self.feed(n, api.WorkerList(api.ListForm.FULL, entries))
         for job, gap in enumerate(np.cumsum(self.rng.exponential(1000 / rate, 1500))):
             self.clock.later(gap, lambda job=job: self.feed(
@@ -58,6 +61,7 @@
                     n, api.ProbeEnded(worker, api.Outcome.OK, 2.0, self.machines[worker].said)))
             case api.Send(job=job, worker=worker):
                 self.sent[worker] += 1
+                self.sends.append((self.clock.now() - self.began, worker))
                 self.machines[worker].queue.append((n, job, worker, self.clock.now()))
                 self.start(self.machines[worker])
 
@@ -93,6 +97,22 @@
     assert dealt < 0.85 * alike, (dealt, alike)
 
 
+def test_cold_workers_are_used_and_not_pushed_over_by_all_nodes_together():
+    # a turn is dealt to one of forty nodes and lapses: unless it is looked for, cold workers stood idle for 8 s
+    cold = {7919 * n + 1 for n in range(30)}
+    changes = {"cold_time": 8000.0, "cold_from": 0.32, "fall_multiple": 3.0, "fall_window": 1500.0}
+    with mock.patch.object(sys.modules[__name__], "SET", replace(SET, **changes)):
+        fleet = Fleet(1, rate=70, cold=30)
+    fleet.clock.run(fleet.began + 8000)
+    sends = [(at, w) for at, w in fleet.sends if w in cold]
+    able = len(cold) * SLOTS * 8.0 * (0.32 + 1) / 2  # mean jobs
+    assert len(sends) > able / 4
+    for at, worker in sends:
+        window = sum(at <= other < at + 1500 for other, w in sends if w == worker)
+        share = 0.32 + 0.68 * at / 8000
+        assert window <= 3.0 * SLOTS * share * 1.5 + 1, (at, worker, window)
+
+
 def test_own_workers_are_dealt_out_evenly_and_few_nodes_have_them_all():
     count = Counter()
     entries = tuple(api.WorkerEntry(7919 * n + 1, zone=n % 2) for n in range(WORKERS))
