A second address for the staff: readiness, figures, workers out by hand

Design. millethead/console: calls (no input or output), figures (rendered from what is counted where it happens: final answers in Exchange._close, attempts in Exchange.written), desk, store, and a listener that is the clients' acceptor with one call a connection, 16 connections and 0.8 s. Way not taken: the calls at the clients' address, by path: a full or flooded client side would keep the staff out. Way not taken: prometheus-client, whose counters would be a second bookkeeping. Workers out are a set of names in the exchange; each list entry carries 'out', and the module decides (BY_HAND list form, since a change by an operator must not look like discovery's answer). The set is written to a file in $TMPDIR, whole or not at all, before the yes.

The clients' address is bound with SO_REUSEPORT where a console is set up.

--- a/millethead/config.py
+++ b/millethead/config.py
@@ -35,6 +35,7 @@
     known: Any
     info: dict[str, Any]
     settings: Settings
+    console: tuple[str, int] | None = None  # where the staff call; None: nowhere
 
     def names(self, key: str) -> list[str]:
         return [str(x["name"] if isinstance(x, dict) else x) for x in self.info.get(key) or ()]
@@ -55,10 +56,12 @@
         info, settings = settings_from(json.dumps(raw.get("settings")).encode())
         seed = int(str(raw.get("seed") or "0"), 16)
         sockets = int((raw.get("limits") or {}).get("sockets") or 1024)
+        console = raw.get("console") or env.get("BALANCER_CONSOLE")
         return Config(
             name=str(raw.get("name") or env.get("BALANCER_NAME") or "dispatcher"),
             listen=parse_address(raw.get("listen") or env.get("BALANCER_LISTEN"), "listen"),
             discovery=parse_address(raw.get("discovery") or env.get("BALANCER_DISCOVERY"), "discovery"),
-            seed=seed, sockets=sockets, known=raw.get("known"), info=info, settings=settings)
+            seed=seed, sockets=sockets, known=raw.get("known"), info=info, settings=settings,
+            console=parse_address(console, "console") if console else None)
     except (SettingsError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from None
--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -43,12 +43,12 @@
 
     __slots__ = ("id", "zone", "kind", "cell", "salt", "open", "started", "free", "queued", "memory", "stamp",
                  "heard", "raw", "luck", "sent", "ended", "held", "slow", "bad", "avoid", "turn", "probing",
-                 "asked", "shy", "full", "fulls", "takes", "exact", "odd", "mine", "shun", "good", "confirms")
+                 "asked", "shy", "full", "fulls", "takes", "exact", "odd", "mine", "shun", "good", "confirms", "out")
 
     def __init__(self, entry: api.WorkerEntry) -> None:
         self.id, self.zone, self.kind, self.cell = entry.worker, entry.zone, entry.kind, entry.cell
         self.salt, self.takes, self.confirms = _mix(entry.worker), entry.takes, entry.confirms
-        self.exact = False
+        self.exact = self.out = False
         self.reset(entry.started)
 
     def reset(self, started: float) -> None:
@@ -138,6 +138,7 @@
         self.look = SWEEP
         self.waiting = self.tickets = self.own = 0
         self.sweeping = self.watching = self.asked = False
+        self.barred = False  # all workers are out by hand: nothing that waits could be served in time
         self.backoff = self.due = 0.0
         self.flows = [_Flow(n) for n in range(max(1, len(settings.tenants)))]
         self.reconfigure(settings)
@@ -192,11 +193,11 @@
             self.watching = self.asked = False
             self._watch_later(out)
             return
-        if e.form is not ListForm.CACHED and self.asked:
+        if e.form < ListForm.CACHED and self.asked:
             self.watching, self.asked, self.backoff = True, False, 0.0
         elif e.form is ListForm.CACHED and self.set.watch_needed:
             self._watch_later(out)
-        if e.form is not ListForm.DELTA:
+        if e.form in (ListForm.FULL, ListForm.CACHED):
             named = {entry.worker for entry in e.workers}
             for gone in [w for w in self.workers if w not in named]:
                 self.workers.pop(gone).open = False
@@ -209,16 +210,24 @@
                     if entry.state is WorkerState.GONE:
                         del self.workers[entry.worker]
             elif w is None:
-                self.workers[entry.worker] = _Worker(entry)
-            elif entry.started != w.started:
-                w.reset(entry.started)
-            else:
-                w.open = True
+                w = self.workers[entry.worker] = _Worker(entry)
+            elif entry.started != w.started or w.out > entry.out:
+                w.reset(entry.started)  # called back, it was mended: old faults do not keep it away
+                if w.out > entry.out and self.set.may_probe:
+                    self._ask([w], out)
+            if w is not None:
+                w.out = entry.out
+                w.open = entry.state is WorkerState.READY and not w.out
+        self.barred = any(w.out for w in self.workers.values()) and not any(w.open for w in self.workers.values())
         self.pools.clear()
         self.homes.clear()
         self.owned = None
         self._sweep(out)
 
+    def down(self, now: float) -> int:
+        """How many listed workers are left out, by hand or since they failed lately."""
+        return sum(w.out or now < w.avoid for w in self.workers.values())
+
     def _watch_later(self, out: list[api.Action]) -> None:
         """Ask for the list in turn: discovery works off one call after another, those too that have given up
         waiting, so nodes that start or fail together must come spread over its time and not at once (herd)."""
@@ -259,7 +268,7 @@
         first = now if e.fresh else job.end - cls.deadline  # when its client began to wait
         job.late = first + cls.aim + PATIENCE * (cls.stretch - 1) * job.own
         self.slots += 0.01 * (job.slots - self.slots)
-        if now > job.late and self.waiting:
+        if self.barred or (now > job.late and self.waiting):
             # a repeat that cannot be in time any more must not take a slot from one that can
             self._answer(job, out)
             return
@@ -741,7 +750,7 @@
         look, now = LOOK if self.set.price_fetch else 1, self.now
         for flow in self.flows:
             for heap in list(flow.heaps.values()):
-                while (head := self._head(heap)) is not None and now > head.late:
+                while (head := self._head(heap)) is not None and (self.barred or now > head.late):
                     # said at once, while the client may still try again without harm
                     self._answer(head, out)
                 for _, ticket, job in heap[:look]:
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -43,12 +43,14 @@
 
 
 class ListForm(IntEnum):
-    """What a list event carries: changed entries, all entries, the list of the last run, or none."""
+    """What a list event carries: changed entries, all entries, the list of the last run, none, or entries that an
+    operator has taken out or put back."""
 
     DELTA = 0
     FULL = 1
     CACHED = 2
     FAILED = 3
+    BY_HAND = 4
 
 
 class WorkerState(IntEnum):
@@ -171,7 +173,7 @@
 class WorkerEntry:
     """One line of the worker list. `started` is the clock time of the last start, 0 for long ago; `cell` is
     below 0 where the worker drops no repeats; `takes` names the job classes that it takes, if not all;
-    `confirms`: it says so when it has taken a job."""
+    `confirms`: it says so when it has taken a job; `out`: an operator wants it left out."""
 
     worker: int
     zone: int = 0
@@ -182,6 +184,7 @@
     started: float = 0.0
     takes: frozenset[int] | None = None
     confirms: bool = False
+    out: bool = False
 
 
 @dataclass(slots=True)
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -31,6 +31,7 @@
 )
 from millethead.exchange.records import WITHDRAWN, Record, Records
 from millethead.exchange.stage import Amendment, Finished, Reply, Unusable, no_plan, one_by_one, repeated
+from millethead.exchange.tally import Tally
 
 HELD = 4096  # jobs held at once; the sockets bound them further
 BODIES = 32 << 20  # bytes of all bodies held
@@ -75,6 +76,8 @@
         self._held_ids: dict[tuple[str, str], _Held] = {}
         self._workers: dict[int, Worker] = {}
         self._names: dict[str, Worker] = {}
+        self._out: set[str] = set()
+        self.tally = Tally(len(settings.classes))
 
     # ---- client side -------------------------------------------------------------------------------
 
@@ -102,9 +105,11 @@
         no_plan(order, now)
         known = self.record(*name)
         if known is not None and not self._offered_again(order, known):
+            self.tally.final(order.job_class, Final.FAILED)
             return repeated(order, reply)
         if self.closing or len(self._jobs) >= HELD or self._bodies + len(order.body) > BODIES:
             log.warning("job_not_taken", job=order.id, closing=self.closing, held=len(self._jobs))
+            self.tally.final(order.job_class, Final.REFUSED)
             reply(Answer(Final.REFUSED))
             return 0
         self._numbers += 1
@@ -172,6 +177,40 @@
     def worker(self, name: str) -> Worker | None:
         return self._names.get(name)
 
+    @property
+    def workers(self) -> list[Worker]:
+        """All workers that stand in a list now."""
+        return list(self._workers.values())
+
+    @property
+    def down(self) -> int:
+        """How many of them get nothing new now, by hand or by the module's choice."""
+        return self._module.down(self.clock.now())
+
+    @property
+    def out(self) -> frozenset[str]:
+        """The names of workers that an operator has taken out, whether they are listed or not."""
+        return frozenset(self._out)
+
+    def take_out(self, names: Iterable[str]) -> None:
+        """Nothing new goes to workers of these names until they are put back, whatever lists say; what stands
+        there goes on."""
+        self._by_hand(names, True)
+
+    def put_back(self, names: Iterable[str]) -> None:
+        self._by_hand(names, False)
+
+    def _by_hand(self, names: Iterable[str], out: bool) -> None:
+        entries = []
+        for name in names:
+            (self._out.add if out else self._out.discard)(name)
+            worker = self._names.get(name)
+            if worker is not None and worker.entry.out != out:
+                worker.entry = replace(worker.entry, out=out)
+                entries.append(worker.entry)
+        if entries:
+            self._feed(api.WorkerList(api.ListForm.BY_HAND, tuple(entries)))
+
     def listed(self, side: ServerSide, form: api.ListForm, lines: Iterable[Listed] = ()) -> None:
         """A list, or changes of it, from one server side. A whole list speaks for that side alone."""
         entries: list[api.WorkerEntry] = []
@@ -188,7 +227,7 @@
                 worker = self._workers_new(line, side)
             elif worker.entry.state is not line.state:
                 log.info("worker_state", worker=line.name, state=line.state.name.lower())
-            worker.take(line)
+            worker.take(line, line.name in self._out)
             entries.append(worker.entry)
             if line.state is api.WorkerState.GONE:
                 self._drop(worker)
@@ -223,6 +262,11 @@
                                     self.clock.now() - attempt.sent, held.closed, report, unusable))
         self._forget(held)
 
+    def written(self, attempt: Attempt) -> None:
+        """The last byte of an attempt was written: it may run from now on."""
+        attempt.whole = True
+        self.tally.written[attempt.order.job_class] += 1
+
     def taken(self, attempt: Attempt) -> None:
         """A worker that confirms says that it has the job."""
         if attempt.outcome is None:
@@ -333,6 +377,7 @@
         record.final, record.state = (answer.final, "") if answer is not None else (None, WITHDRAWN)
         self._records.put(name, record, now)
         if answer is not None:
+            self.tally.final(held.order.job_class, answer.final)
             if answer.final is not Final.SERVED:
                 log.info("job_" + answer.final.value, job=held.order.id, attempts=len(held.attempts),
                          after_ms=round(now - held.came))
@@ -365,7 +410,7 @@
         number = crc32(line.name.encode())
         while number in self._workers:
             number = (number + 1) & 0xFFFFFFFF
-        worker = self._workers[number] = self._names[line.name] = Worker(number, line, side)
+        worker = self._workers[number] = self._names[line.name] = Worker(number, line, side, line.name in self._out)
         return worker
 
     def _drop(self, worker: Worker) -> None:
--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -97,15 +97,20 @@
 
     __slots__ = ("address", "entry", "name", "number", "open", "side")
 
-    def __init__(self, number: int, listed: Listed, side: ServerSide) -> None:
+    def __init__(self, number: int, listed: Listed, side: ServerSide, out: bool = False) -> None:
         self.number, self.name, self.side = number, listed.name, side
-        self.take(listed)
+        self.take(listed, out)
 
-    def take(self, listed: Listed) -> None:
+    @property
+    def wanted(self) -> bool:
+        """Whether something new may be sent to it: it is in service, and no operator has taken it out."""
+        return self.open and not self.entry.out
+
+    def take(self, listed: Listed, out: bool = False) -> None:
         self.address = listed.address
         self.open = listed.state is WorkerState.READY
         self.entry = WorkerEntry(self.number, listed.zone, listed.kind, listed.cell, listed.state,
-                                 listed.rating, listed.started, listed.takes, listed.confirms)
+                                 listed.rating, listed.started, listed.takes, listed.confirms, out)
 
 
 @dataclass(slots=True, eq=False)
--- a/millethead/fronts/faktory/workers.py
+++ b/millethead/fronts/faktory/workers.py
@@ -90,7 +90,7 @@
             conn.close()
             self._end(process, attempt, Outcome.CONNECT_FAILED)  # the worker never had the whole job
             return
-        attempt.whole = True
+        self.exchange.written(attempt)
 
     def give_up(self, attempt: Attempt) -> None:
         """The protocol cannot withdraw a job that was fetched: its late ACK or FAIL finds nothing."""
--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -107,6 +107,11 @@
         super().__init__(limit)
         self.front, self.closing = front, False
 
+    @property
+    def first_time(self) -> float:
+        """Seconds from connecting to the end of the first request."""
+        return FIRST_TIME
+
     async def talk(self, conn: Connection) -> None:
         rank, faults, since = FRESH, 0, time.monotonic()
         while True:
@@ -131,7 +136,7 @@
     async def _request(self, conn: Connection, rank: int, since: float) -> Request | None:
         """The next request; None when the connection is done with. One that says nothing, or never ends what
         it says, is let go in time, so that it takes no descriptor from others."""
-        limit = FIRST_TIME
+        limit = self.first_time
         try:
             if rank != FRESH:
                 if not len(conn.buffer):
--- a/millethead/net/answer.py
+++ b/millethead/net/answer.py
@@ -14,7 +14,7 @@
     lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
     if status != 204:
         lines.append(f"Content-Length: {len(body)}")
-    if body:
+    if body and "Content-Type" not in (fields or {}):
         lines.append("Content-Type: text/plain; charset=utf-8")
     lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
     if not keep:
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -8,7 +8,7 @@
 import structlog
 from tornado.ioloop import IOLoop
 
-from millethead.decide.interface import Outcome, Report, WorkerState
+from millethead.decide.interface import Outcome, Report
 from millethead.exchange.core import Exchange
 from millethead.exchange.model import Attempt, Worker
 from millethead.net.connection import Closed, Connection, Late, within
@@ -78,8 +78,8 @@
         except ConnectFailed:
             self._end(attempt, Outcome.CONNECT_FAILED)
             return
-        if attempt.outcome is not None or attempt.worker.entry.state is not WorkerState.READY:
-            # it was given up, or the worker began to drain, while the connection came up
+        if attempt.outcome is not None or not attempt.worker.wanted:
+            # it was given up, or the worker began to drain or was taken out, while the connection came up
             self.pool.give_back(address, conn)
             self._end(attempt, Outcome.NEVER_SENT)
             return
@@ -91,6 +91,10 @@
             # as the job comes, which so never ran, and may go elsewhere even if it must not run twice
             await within(left / 1000, conn.write(message[:-1]))
             await asyncio.sleep(HOLD)
+            if not attempt.worker.wanted:  # it never had the last byte
+                conn.close()
+                self._end(attempt, Outcome.NEVER_SENT)
+                return
             if conn.broken():
                 raise Closed
             await within(left / 1000, conn.write(message[-1:]))
@@ -98,7 +102,7 @@
             conn.close()
             self._end(attempt, Outcome.CONNECT_FAILED)  # broke before its last byte: never ran
             return
-        attempt.whole = True
+        self.exchange.written(attempt)
         try:
             left = attempt.end - self.exchange.clock.now()
             response = await within(left / 1000 + TAKEN_LATE, read_response(conn))
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -7,6 +7,8 @@
 import threading
 import time
 from collections.abc import Callable
+from pathlib import Path
+from tempfile import gettempdir
 from typing import TYPE_CHECKING
 
 import structlog
@@ -28,6 +30,8 @@
 from millethead.operators import Operator
 
 if TYPE_CHECKING:  # what is not set up is not imported
+    from millethead.console.desk import FrontDesk
+    from millethead.console.server import Console
     from millethead.flows.ipfix import Exporter
     from millethead.fronts.faktory.session import FaktoryServer
 
@@ -35,6 +39,7 @@
 GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
 # ms after SIGTERM in which no SIGKILL comes: the longest deadline, or so much where it is longer, and more
 LONGEST, MORE = 3000.0, 700.0
+CALLERS = 16  # connections of the staff at once: descriptors are kept back for them
 ANSWERED, TAKEN = 100.0, 800.0  # ms before that by which all is answered, and nothing is taken any more
 REPORT_NAMES = ("rif", "inflight", "q", "queue", "busy", "util", "x0", "x1")
 
@@ -93,6 +98,17 @@
             self.flows = Exporter(self.operator.flows, config.listen, setup.listen if setup else None,
                                   config.names("classes"))
             self.stage.finished = self.flows.finished
+        self.console: Console | None = None
+        self.desk: FrontDesk | None = None
+        if config.console is not None:
+            from millethead.console.calls import Calls
+            from millethead.console.desk import FrontDesk
+            from millethead.console.server import Console
+            from millethead.console.store import OutFile
+
+            file = OutFile(Path(gettempdir()), config.name, f"{config.name} at {config.listen[0]}:{config.listen[1]}")
+            self.desk = FrontDesk(self.exchange, self.stage, config.names("classes"), file, self.takes)
+            self.console = Console(Calls(self.desk), CALLERS)
         self.goes_on = GOES_ON
         self._leaving: asyncio.Task[None] | None = None
         self.serving = asyncio.Event()
@@ -104,7 +120,11 @@
             for number in (signal.SIGTERM, signal.SIGINT):
                 asyncio.get_running_loop().add_signal_handler(number, self.stop)
             asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
-        _listen(self.acceptor, self.config.listen)
+        if self.console is not None and self.desk is not None and self.config.console is not None:
+            _listen(self.console, self.config.console)
+            self.desk.restore()
+        # two processes of one dispatcher may listen while the one replaces the other
+        _listen(self.acceptor, self.config.listen, reuse_port=self.console is not None)
         if self.faktory is not None and self.operator.faktory is not None:
             _listen(self.faktory, self.operator.faktory.listen)
         self.pool.start()
@@ -123,6 +143,9 @@
             self.faktory.close_all()
         if self.flows is not None:
             self.flows.stop()
+        if self.console is not None:
+            self.console.stop()
+            self.console.close_all()
         self.discovery.stop()
         self.pool.stop()
         if threading.current_thread() is threading.main_thread():
@@ -131,6 +154,11 @@
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
         log.info("ended")
 
+    def takes(self) -> str:
+        """Why no clients are taken; empty when they are."""
+        return "" if self.serving.is_set() and self.stage.ready else (
+            "it leaves" if self._leaving is not None else "no booking worker is known yet")
+
     def reload(self) -> None:
         """SIGHUP: read the configuration anew. What cannot change in service waits for a restart; a file
         that cannot be used changes nothing."""
@@ -142,6 +170,7 @@
             return
         fixed = [what for what, differs in (
             ("name", new.name != old.name), ("listen", new.listen != old.listen),
+            ("console", new.console != old.console),
             *((key, new.names(key) != old.names(key)) for key in ("azs", "kinds", "classes", "tenants")),
             *((key, new.info.get(key) != old.info.get(key)) for key in ("zone", "self_index", "balancers",
                                                                         "membership_mode", "report")),
@@ -160,7 +189,7 @@
         """Bounds the pool; returns what is left for clients. A few descriptors stay for loop, listeners
         and discovery."""
         self.pool.limit = sockets * 3 // 10
-        room = sockets * 6 // 10
+        room = sockets * 6 // 10 - (CALLERS if self.config.console is not None else 0)
         setup = self.operator.faktory
         return room - (min(setup.connections, room // 2) if setup is not None else 0)
 
@@ -201,10 +230,10 @@
     return config.settings.connect_timeout, float(permit.get("keepalive") or 60_000.0)
 
 
-def _listen(server: TCPServer, address: tuple[str, int]) -> None:
+def _listen(server: TCPServer, address: tuple[str, int], reuse_port: bool = False) -> None:
     host, port = address
     try:
-        sockets = bind_sockets(port, host, backlog=512)
+        sockets = bind_sockets(port, host, backlog=512, reuse_port=reuse_port)
     except OSError as error:
         raise ConfigError(f"cannot listen on {host}:{port}: {error}") from None
     server.add_sockets(sockets)
--- a/tests/play.py
+++ b/tests/play.py
@@ -31,7 +31,7 @@
         "millethead.net.accept.ASKED_TIME",
         "millethead.fronts.faktory.session.FIRST_TIME", "millethead.fronts.faktory.session.READ_TIME",
         "millethead.net.probes.PROBE_TIME", "millethead.net.send.DELETE_TIME",
-        "millethead.fronts.faktory.session.FETCH_TIME")
+        "millethead.fronts.faktory.session.FETCH_TIME", "millethead.console.server.CALL_TIME")
 CLASSES: list[dict[str, Any]] = [
     {"name": "desk-search", "deadline": 7500.0, "goal_time": 30000.0, "effect": "retryable", "worth": 2.0},
     {"name": "paid-booking", "deadline": 15000.0, "goal_time": 30000.0, "effect": "fragile", "worth": 10.0},
@@ -88,8 +88,10 @@
 class Stage:
     """The program and everybody around it, for one test."""
 
-    def __init__(self, operator: str = "", settings: dict[str, Any] | None = None, workers: int = 2) -> None:
+    def __init__(self, operator: str = "", settings: dict[str, Any] | None = None, workers: int = 2,
+                 console: bool = False) -> None:
         self.operator, self.settings, self.count = operator, settings or SETTINGS, workers
+        self.console = console
 
     async def __aenter__(self) -> Stage:
         self.patches: list[Any] = [mock.patch(name, PATIENCE) for name in LONG]
@@ -111,6 +113,8 @@
         self.config = {"name": "n1", "seed": "1", "listen": "127.0.0.1:0",
                        "discovery": f"127.0.0.1:{self.discovery.port}",
                        "limits": {"sockets": 256}, "known": known, "settings": self.settings}
+        if self.console:
+            self.config["console"] = "127.0.0.1:0"
         self.path.write_text(json.dumps(self.config))
         (base / "operator.toml").write_text(self.operator)
         (base / "password").write_text("tea\n")
@@ -135,7 +139,8 @@
             patch.stop()
 
     def port(self, party: str) -> int:
-        server = self.program.faktory if party.startswith("faktory") else self.program.acceptor
+        server = (self.program.console if party == "console" else
+                  self.program.faktory if party.startswith("faktory") else self.program.acceptor)
         assert server is not None
         found: socket.socket = next(iter(server._sockets.values()))
         return int(found.getsockname()[1])
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,6 +4,9 @@
 import unittest
 from pathlib import Path
 
+from millethead.console.figures import Figures, render
+from millethead.exchange.tally import Tally
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -17,4 +20,7 @@
         words = set(re.findall(r"`([a-z_]+)`", page))
         self.assertEqual(said - words, set())
         outcomes = {"connect_failed", "never_sent"}
-        self.assertEqual({word for word in words if "_" in word} - said - outcomes, set())
+        figures = {word for word in words if word.startswith("dispatcher_")}
+        page = render(Figures([], Tally(0), 0, 0, 0)).decode()
+        self.assertEqual(figures, set(re.findall(r"# TYPE (\S+)", page)))
+        self.assertEqual({word for word in words if "_" in word} - said - outcomes - figures, set())
