A new process takes over listener, connections and jobs from the one it replaces

millethead/succession: a SOCK_SEQPACKET link in $TMPDIR. News that finds no job here is asked of the other process, and its answer waits; 503 makes the worker try again where the other one does not answer in 1 s. The clock goes on with the predecessor's offset. Descriptors that the old one still holds come off the new one's share. If the new one dies after its yes, the old one hears the link break and takes clients again.

--- a/millethead/console/desk.py
+++ b/millethead/console/desk.py
@@ -16,12 +16,13 @@
 
 
 class FrontDesk:
-    """`takes_clients` says why no clients are taken, with nothing for yes."""
+    """`takes_clients` says why no clients are taken, with nothing for yes; `told` is called when the set of workers out
+    has changed."""
 
     def __init__(self, exchange: Exchange, stage: Stage, classes: Sequence[str], file: OutFile,
-                 takes_clients: Callable[[], str]) -> None:
+                 takes_clients: Callable[[], str], told: Callable[[], None]) -> None:
         self.exchange, self.stage, self.classes, self.file = exchange, stage, classes, file
-        self.takes_clients = takes_clients
+        self.takes_clients, self.told = takes_clients, told
 
     def restore(self) -> None:
         """Take out again what an earlier process of this dispatcher had out."""
@@ -45,6 +46,7 @@
         # the module first: from here on nothing new goes there, whatever becomes of the file
         self.exchange.take_out([member])
         self._keep(member, member in out)
+        self.told()
         log.info("worker_out", worker=member)
 
     def put_back(self, member: str) -> None:
@@ -55,6 +57,7 @@
             return
         self._store(out - {member})
         self.exchange.put_back([member])
+        self.told()
         log.info("worker_back", worker=member)
 
     def _keep(self, member: str, before: bool) -> None:
--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -381,15 +381,19 @@
         return (w.open and (kind is None or kind == w.kind) and (w.takes is None or job.cls in w.takes)
                 and (group < 0 or group == (w.zone if group < CELLS else w.cell + CELLS)))
 
+    def put_out(self, job: _Job, n: int, w: _Worker, sent: float) -> None:
+        """Book attempt `n` as out at `w`."""
+        job.out[n] = (w, sent)
+        w.sent.append((sent, job.slots, job.memory))
+        w.held += job.slots
+        self.own += job.slots
+        w.mine[job.id] = sent + OVERDUE * job.own * self.pace.get(w.kind, 1.0) + GRACE, sent, job
+
     def _send(self, job: _Job, w: _Worker, out: list[api.Action]) -> None:
         now = self.now
         self._unwait(job)
-        job.out[job.tries] = (w, now)
+        self.put_out(job, job.tries, w, now)
         job.tries += 1
-        w.sent.append((now, job.slots, job.memory))
-        w.held += job.slots
-        self.own += job.slots
-        w.mine[job.id] = now + OVERDUE * job.own * self.pace.get(w.kind, 1.0) + GRACE, now, job
         if self._cold(w):
             w.turn = self._turn(w, now) + ceil(self._cost(job) / self.work) - 1
         out.append(api.Send(job.id, w.id))
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -67,7 +67,7 @@
         self.closing = self.leaving = False
         self.ends = float("inf")
         self._module = Balancer(self._with_flows(settings), seed)
-        self._events: deque[api.Event] = deque()
+        self._steps: deque[tuple[str, Callable[[float], list[api.Action]]]] = deque()
         self._busy = False
         self._jobs: dict[int, _Held] = {}
         self._numbers = 0
@@ -279,18 +279,21 @@
     # ---- the module's events and actions -----------------------------------------------------------
 
     def _feed(self, event: api.Event) -> None:
+        self._step(type(event).__name__, lambda now: self._module.handle(now, event))
+
+    def _step(self, what: str, step: Callable[[float], list[api.Action]]) -> None:
         # an action may end an attempt on the spot: such events wait until the actions before them are done
-        self._events.append(event)
+        self._steps.append((what, step))
         if self._busy:
             return
         self._busy = True
         try:
-            while self._events:
-                event = self._events.popleft()
+            while self._steps:
+                what, step = self._steps.popleft()
                 try:
-                    actions = self._module.handle(self.clock.now(), event)
+                    actions = step(self.clock.now())
                 except Exception:
-                    log.exception("module_failed", event_type=type(event).__name__)
+                    log.exception("module_failed", event_type=what)
                     continue
                 for action in actions:
                     self._act(action)
--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from millethead.decide import interface as api
 from millethead.exchange.model import PARENTS, Answer, Final, Order, Plan
+from millethead.exchange.stage import Reply as Settle
 from millethead.exchange.stage import Stage, Unusable
 from millethead.fronts.times import read_time
 from millethead.net.accept import Reply
@@ -29,6 +30,8 @@
                  report: Callable[[str], api.Report | None], client: str = "") -> None:
         """`client`: the field that names who hands a job in, if an operator has chosen one."""
         self.client = client.lower()
+        # asks other processes of this dispatcher about news: whether it was theirs, None if that cannot be said now
+        self.elsewhere: Callable[[bytes], Awaitable[bool | None]] | None = None
         self.stage, self.take, self.report = stage, take, report
         self.classes = {name: n for n, name in enumerate(classes)}
         self.tenants = {name: n for n, name in enumerate(tenants)}
@@ -44,16 +47,31 @@
             if request.path == "/up":
                 return Reply(200, b"ready\n") if self.stage.ready else Reply(503, b"not ready\n")
             if request.path == "/_jobs/news":
-                read_news(request.body, self.report, self.take)
-                return Reply(200)
+                return await self.news(request.body)
             order = self.order(request, conn)
-            answer = await exchange_job(self.stage, conn, order)
+            answer = await exchange_job(self.stage, conn, lambda settle: self.stage.arrive(order, settle))
         except BadMessage as bad:
             return Reply(bad.status, f"{bad}\n".encode())
         except Unusable as why:
             return Reply(400, f"{why}\n".encode())
         return None if answer is None else reply_for(answer)
 
+    async def news(self, body: bytes) -> Reply:
+        """A call-back, which may be for a job of the process before or after this one."""
+        if read_news(body, self.report, self.take, last=self.elsewhere is None) or self.elsewhere is None:
+            return Reply(200)
+        found = await self.elsewhere(body)
+        if found is None:  # not heard of in time: the worker is to try again
+            return Reply(503, b"its owner cannot be reached\n")
+        if not found:  # the job may have come over while its owner was asked
+            read_news(body, self.report, self.take)
+        return Reply(200)
+
+    async def resume(self, conn: Connection, begin: Callable[[Settle], int]) -> Reply | None:
+        """The reply to a request that the process before this one had read."""
+        answer = await exchange_job(self.stage, conn, begin)
+        return None if answer is None else reply_for(answer)
+
     def order(self, request: Request, conn: Connection) -> Order:
         fields = request.fields
         job_id, timeout = fields.get("x-request-id", ""), fields.get("x-timeout", "")
--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import structlog
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
@@ -38,6 +39,7 @@
 
 
 Front = Callable[[Connection, Request], Awaitable[Reply | None]]
+Owed = Callable[[Connection], Awaitable[Reply | None]]
 
 
 class Server(TCPServer):
@@ -60,10 +62,14 @@
             sparing_log.warning("connection_turned_away", server=type(self).__name__, open=len(self.open))
             conn.close()
             return
-        self.open.add(conn)
         self.rest(conn, FRESH)
+        await self.keep(conn, self.talk(conn))
+
+    async def keep(self, conn: Connection, talk: Awaitable[None]) -> None:
+        """Hold `conn` until its talk ends."""
+        self.open.add(conn)
         try:
-            await self.talk(conn)
+            await talk
         except (Closed, Late, OSError):
             pass
         except Exception:
@@ -76,8 +82,17 @@
     async def talk(self, conn: Connection) -> None:
         raise NotImplementedError
 
+    def pause(self) -> None:
+        """Leave new connections to others that listen on the same socket."""
+        for fd in self._sockets:
+            IOLoop.current().remove_handler(fd)
+
+    def resume(self) -> None:
+        self.add_sockets(list(self._sockets.values()))
+
     def rest(self, conn: Connection, rank: int) -> None:
         """From now on `conn` may be closed to make room."""
+        conn.midway = False
         self.idle[conn] = rank, time.monotonic()
 
     def work(self, conn: Connection) -> None:
@@ -112,20 +127,36 @@
         """Seconds from connecting to the end of the first request."""
         return FIRST_TIME
 
-    async def talk(self, conn: Connection) -> None:
-        rank, faults, since = FRESH, 0, time.monotonic()
+    def adopt(self, sock: socket.socket, rank: int, data: bytes = b"", keeps: bool = True,
+              owed: Owed | None = None) -> None:
+        """Go on with a connection that the process before this one had: `data` was read and not used; `owed` gives
+        the reply to a request that was."""
+        stream = IOStream(sock, max_buffer_size=READ_BUFFER, max_write_buffer_size=WRITE_BUFFER)
+        conn = Connection(stream)
+        conn.buffer.put(data)
+        if owed is None:
+            self.rest(conn, rank)
+        IOLoop.current().spawn_callback(self.keep, conn, self.talk(conn, rank, keeps, owed))
+
+    async def talk(self, conn: Connection, rank: int = FRESH, keeps: bool = True, owed: Owed | None = None) -> None:
+        faults, since = 0, time.monotonic()
         while True:
-            request = await self._request(conn, rank, since)
-            if request is None:
-                return
-            self.work(conn)
-            reply = await self.front(conn, request)
+            if owed is not None:
+                method, reply, owed = "POST", await owed(conn), None
+            else:
+                request = await self._request(conn, rank, since)
+                if request is None:
+                    return
+                self.work(conn)
+                keeps, method = request.keep, request.method
+                conn.keeps = keeps
+                reply = await self.front(conn, request)
             if reply is None:
                 return
             faults = faults + 1 if reply.status >= 400 and not reply.job else 0
-            keep = request.keep and not self.closing and faults < FAULTS
+            keep = keeps and not self.closing and faults < FAULTS
             message = format_answer(reply.status, reply.body, reply.fields, keep)
-            if request.method == "HEAD":  # its answer has no body, whatever length it tells
+            if method == "HEAD":  # its answer has no body, whatever length it tells
                 message = message[:len(message) - len(reply.body)]
             await send_answer(conn, message)
             if not keep:
@@ -153,7 +184,9 @@
         return None
 
     async def _read(self, conn: Connection) -> Request:
-        request = parse_request(await read_head(conn))
+        head = await read_head(conn)
+        conn.midway = True
+        request = parse_request(head)
         expect = request.fields.get("expect")
         if expect is not None:
             if expect.lower() != "100-continue":
--- a/millethead/net/buffer.py
+++ b/millethead/net/buffer.py
@@ -32,6 +32,14 @@
             self._data = grown
         return memoryview(self._data)[self._end:]
 
+    def put(self, data: bytes) -> None:
+        """Bytes that came another way."""
+        while data:
+            room = self.room()[:len(data)]
+            room[:] = data[:len(room)]
+            self.filled(len(room))
+            data = data[len(room):]
+
     def filled(self, count: int) -> None:
         self._end += count
 
--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -30,10 +30,14 @@
 
 
 class Connection:
-    __slots__ = ("buffer", "idle_since", "stream")
+    """`job`: the number of the job whose answer it waits for, 0 for none; `midway`: what came of a message is no longer
+    all in the buffer; `keeps`: its request lets it live on."""
+
+    __slots__ = ("buffer", "idle_since", "job", "keeps", "midway", "stream")
 
     def __init__(self, stream: IOStream) -> None:
         self.stream, self.buffer = stream, Buffer()
+        self.job, self.midway, self.keeps = 0, False, True
         self.idle_since = 0.0
         stream.set_nodelay(True)
 
--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -86,6 +86,7 @@
         self.index: int | None = None
         self._conn: Connection | None = None
         self._turn = self._failures = self._unread = 0
+        self.heard: Callable[[list[Listed]], None] | None = None  # told of each list that is taken
 
     def known(self, raw: Any) -> None:
         """Start from the list of the last run, if it can be read."""
@@ -98,6 +99,11 @@
             log.warning("known_list_bad", why=str(bad))
         self.exchange.listed(self.side, ListForm.CACHED, lines)
 
+    def inherited(self, index: int | None, lines: list[Listed]) -> None:
+        """Start from the list of the process before this one."""
+        self.index = index
+        self.exchange.listed(self.side, ListForm.CACHED, lines)
+
     def watch(self, on: bool) -> None:
         self.stop()
         if on:
@@ -207,3 +213,5 @@
         if turn == self._turn:
             self.index = index
             self.exchange.listed(self.side, ListForm.FULL if whole else ListForm.DELTA, lines)
+            if self.heard is not None:
+                self.heard(lines)
--- a/millethead/net/exchange.py
+++ b/millethead/net/exchange.py
@@ -8,8 +8,8 @@
 
 from tornado.ioloop import IOLoop
 
-from millethead.exchange.model import Answer, Order
-from millethead.exchange.stage import Stage
+from millethead.exchange.model import Answer
+from millethead.exchange.stage import Reply, Stage
 from millethead.net.connection import Connection
 
 
@@ -27,10 +27,10 @@
     """Unix time at the start, carried on by the steady clock: the list's start times are Unix times too."""
 
     def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
+        self.offset = time.time() - time.monotonic()  # s; a successor goes on with it
 
     def now(self) -> float:
-        return (time.monotonic() + self._offset) * 1000
+        return (time.monotonic() + self.offset) * 1000
 
     def wall(self) -> float:
         """Unix time in ms as the machine says it now; it may be stepped either way."""
@@ -40,15 +40,16 @@
         return _Timer(IOLoop.current().call_later(max(0.0, delay) / 1000, call))
 
 
-async def exchange_job(stage: Stage, conn: Connection, order: Order) -> Answer | None:
-    """Hand the job in and wait for its answer; None if the client left first. Raises Unusable."""
+async def exchange_job(stage: Stage, conn: Connection, begin: Callable[[Reply], int]) -> Answer | None:
+    """Hand a job in by `begin`, which returns its number, and wait for its answer; None if the client left first.
+    Raises Unusable."""
     future: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
 
     def settle(answer: Answer | None) -> None:
         if not future.done():
             future.set_result(answer)
 
-    number = stage.arrive(order, settle)
+    number = conn.job = begin(settle)
 
     def left() -> None:
         if number:
@@ -59,4 +60,5 @@
     try:
         return await future
     finally:
+        conn.job = 0
         conn.on_close(None)
--- a/millethead/net/news.py
+++ b/millethead/net/news.py
@@ -16,8 +16,9 @@
 Take = Callable[[str, str, str, bytes, Report | None], bool]
 
 
-def read_news(body: bytes, report: Callable[[str], Report | None], take: Take) -> None:
-    """Hand one call-back on. It may precede the 202, repeat, or come late: only a bad body is an error."""
+def read_news(body: bytes, report: Callable[[str], Report | None], take: Take, last: bool = True) -> bool:
+    """Hand one call-back on; whether an attempt waited for it. It may precede the 202, repeat, or come late: only
+    a bad body is an error. `last`: nobody else will be asked."""
     try:
         news: Any = json.loads(body)
     except (ValueError, RecursionError):
@@ -32,5 +33,6 @@
         raise BadMessage(400, "news with a result or load of the wrong kind")
     found = take(job_id, worker, state, result.encode("utf-8", "replace"),
                  report(json.dumps(load)) if load else None)
-    if not found:
+    if not found and last:
         log.info("news_of_no_attempt", job=job_id, worker=worker, state=state)
+    return found
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -50,6 +50,19 @@
         elif attempt.whole and attempt.worker.address is not None:
             IOLoop.current().spawn_callback(self._delete, attempt)
 
+    def movable(self, attempt: Attempt) -> bool:
+        """Whether only news can end it, wherever that comes in: the worker has said 202."""
+        return attempt.whole and attempt.channel is None and self._running.get(
+            (attempt.order.id, attempt.worker.name)) is attempt
+
+    def let_go(self, attempt: Attempt) -> None:
+        """Another process waits for it from now on."""
+        self._done(attempt)
+
+    def take_over(self, attempt: Attempt) -> None:
+        """Wait for an attempt that the predecessor sent."""
+        self._running[attempt.order.id, attempt.worker.name] = attempt
+
     def probe(self, worker: Worker) -> None:
         IOLoop.current().spawn_callback(self.probes.probe, worker)
 
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -24,6 +24,7 @@
 from millethead.net.accept import Acceptor
 from millethead.net.discovery import Discovery, Names
 from millethead.net.exchange import LoopClock
+from millethead.net.news import read_news
 from millethead.net.pool import Pool
 from millethead.net.probes import Probes, report_reader
 from millethead.net.send import HttpWorkers
@@ -34,8 +35,10 @@
     from millethead.console.server import Console
     from millethead.flows.ipfix import Exporter
     from millethead.fronts.faktory.session import FaktoryServer
+    from millethead.succession.succession import Inherited, Succession
 
 log = structlog.get_logger()
+HANDING = 1.0  # s after SIGTERM in which jobs go to a successor before any is cut short
 GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
 # ms after SIGTERM in which no SIGKILL comes: the longest deadline, or so much where it is longer, and more
 LONGEST, MORE = 3000.0, 700.0
@@ -100,14 +103,22 @@
             self.stage.finished = self.flows.finished
         self.console: Console | None = None
         self.desk: FrontDesk | None = None
+        self.succession: Succession | None = None
         if config.console is not None:
             from millethead.console.calls import Calls
             from millethead.console.desk import FrontDesk
             from millethead.console.server import Console
             from millethead.console.store import OutFile
+            from millethead.succession.succession import Succession
 
-            file = OutFile(Path(gettempdir()), config.name, f"{config.name} at {config.listen[0]}:{config.listen[1]}")
-            self.desk = FrontDesk(self.exchange, self.stage, config.names("classes"), file, self.takes)
+            folder, whose = Path(gettempdir()), f"{config.name} at {config.listen[0]}:{config.listen[1]}"
+            self.succession = Succession(
+                folder, config.name, whose, clock, self.exchange, self.workers, self.discovery, self.acceptor,
+                front.resume, lambda body: read_news(body, report, self.workers.news, last=False), self._share_with,
+                self.stage is self.exchange)
+            front.elsewhere = self.succession.elsewhere
+            self.desk = FrontDesk(self.exchange, self.stage, config.names("classes"),
+                                  OutFile(folder, config.name, whose), self.takes, self.succession.tell_out)
             self.console = Console(Calls(self.desk), CALLERS)
         self.goes_on = GOES_ON
         self._leaving: asyncio.Task[None] | None = None
@@ -120,17 +131,24 @@
             for number in (signal.SIGTERM, signal.SIGINT):
                 asyncio.get_running_loop().add_signal_handler(number, self.stop)
             asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
-        if self.console is not None and self.desk is not None and self.config.console is not None:
-            _listen(self.console, self.config.console)
-            self.desk.restore()
-        # two processes of one dispatcher may listen while the one replaces the other
-        _listen(self.acceptor, self.config.listen, reuse_port=self.console is not None)
+        inherited = await self._open_console()
+        if inherited is None:
+            _listen(self.acceptor, self.config.listen, reuse_port=self.console is not None)
         if self.faktory is not None and self.operator.faktory is not None:
             _listen(self.faktory, self.operator.faktory.listen)
         self.pool.start()
         if self.flows is not None:
             self.flows.start()
-        self.discovery.known(self.config.known)
+        if inherited is None:
+            self.discovery.known(self.config.known)
+        elif self.succession is not None and inherited.listener is not None:
+            self.discovery.inherited(inherited.index, inherited.lines)
+            self.succession.restore()
+            while not self.exchange.ready and self.succession.before is not None:
+                await asyncio.sleep(0.02)  # the process before this one serves meanwhile
+            self.acceptor.add_sockets([inherited.listener])
+        if self.succession is not None:
+            self.succession.ready()
         log.info("serving")
         self.serving.set()
         await self._ended.wait()
@@ -143,6 +161,8 @@
             self.faktory.close_all()
         if self.flows is not None:
             self.flows.stop()
+        if self.succession is not None:
+            self.succession.close()
         if self.console is not None:
             self.console.stop()
             self.console.close_all()
@@ -154,6 +174,28 @@
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
         log.info("ended")
 
+    async def _open_console(self) -> Inherited | None:
+        """Listen for the staff, and ask the process before this one, if there is one, for what it has."""
+        if self.console is None or self.desk is None or self.succession is None or self.config.console is None:
+            return None
+        _listen(self.console, self.config.console)
+        inherited = await self.succession.meet()
+        self.desk.restore()
+        if inherited is None:
+            return None
+        self.exchange.take_out(inherited.out)
+        listener = inherited.listener
+        if listener is None or listener.getsockname()[:2] != self.config.listen:
+            log.warning("predecessor_unusable", why="its listener is not ours")
+            return None
+        return inherited
+
+    def _share_with(self, clients: int, workers: int) -> None:
+        """The process before this one still has so many connections, which count as this one's."""
+        room = self._share_sockets(self.config.sockets)
+        self.acceptor.limit = max(8, room - clients)
+        self.pool.limit = max(8, self.pool.limit - workers)
+
     def takes(self) -> str:
         """Why no clients are taken; empty when they are."""
         return "" if self.serving.is_set() and self.stage.ready else (
@@ -200,16 +242,26 @@
                 loop.remove_signal_handler(number)
                 signal.signal(number, signal.SIG_IGN)
         log.info("stopping", held=self.stage.held)
+        if self._leaving is not None:
+            return
         alive = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + MORE
+        self._leaving = loop.create_task(self._leave(alive))
+
+    async def _leave(self, alive: float) -> None:
+        """Whatever can go to a successor goes there. Without one new clients go elsewhere, but usual ones use the
+        connections they have while these stay open, and have nobody else until this node is back: they are served
+        while there is time."""
+        began = time.monotonic()
+        until = began + (alive - TAKEN) / 1000
+        taken_over = self.succession is not None and self.succession.took_over
+        if self.succession is not None and taken_over:
+            await self.succession.hand_over(began + HANDING)
         # Faktory's clients wait for nobody: what they pushed ends by its own deadline
-        self.stage.leave(alive - ANSWERED if self.faktory is None else None)
-        self._leaving = loop.create_task(self._leave(alive - TAKEN))
-
-    async def _leave(self, taken: float) -> None:
-        """New clients go elsewhere, but usual ones use the connections they have while these stay open,
-        and have nobody else until this node is back: they are served while there is time."""
-        await asyncio.sleep(self.goes_on)
-        until = time.monotonic() + taken / 1000 - self.goes_on
+        self.stage.leave(alive - ANSWERED - (time.monotonic() - began) * 1000 if self.faktory is None else None)
+        if self.succession is not None and taken_over:
+            await self.succession.hand_over(until)
+        else:
+            await asyncio.sleep(self.goes_on)
         while time.monotonic() < until and (self.acceptor.open or self.stage.held):
             await asyncio.sleep(0.05)
         self.drain()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -74,8 +74,8 @@
             self.assertLessEqual(len(stage.program.console.open), limit)
             for _, writer in idle:
                 writer.close()
-        with mock.patch("millethead.console.server.CALL_TIME", 0.05):
-            async with Stage(console=True) as stage:
+        async with Stage(console=True) as stage:
+            with mock.patch("millethead.console.server.CALL_TIME", 0.05):
                 self.assertIn(" 408 ", await talk(stage.port("console"), b"GET /ops/stats"))
                 self.assertEqual(await talk(stage.port("console"), b""), "")
 
