--- a/benchmarks/operation/replace.py
+++ b/benchmarks/operation/replace.py
@@ -2,10 +2,10 @@
 
 Usage: replace.py [--times=N] [--rate=N] [--out=FILE]
 
-`millethead serve` is replaced again and again as the platform does it: a second process with the same $TMPDIR, SIGTERM
-to the first once the second says yes. Jobs arrive open-loop (Poisson), each on a new connection or one that
-a client keeps; a quarter are paid-booking. Work takes 20 to 1,500 ms at three stand-in workers. Memory is what /proc says of both
-at the yes (anonymous and resident), time is from start to yes.
+`millethead serve` is replaced again and again as the platform does it: a second process with the same
+$TMPDIR, SIGTERM to the first once the second says yes. Jobs arrive open-loop (Poisson), each on a new
+connection or one that a client keeps; a quarter are paid-booking. Work takes 20 to 1,500 ms at three stand-in
+workers. Memory is what /proc says of both at the yes (anonymous and resident), time is from start to yes.
 
 Options:
   --times=N   replacements [default: 200]
