Read again: one place books an attempt back, and links, rows and lists are gone through once

Behaviour is as it was. Balancer.put_away serves _ended and carry.release, which had a copy of it; _send_rows stands for three loops over rows, Succession._others for three over links; _lost never differed from _successor_gone, since a closed link calls nobody; whether a request lets its connection live on is kept in Connection.keeps alone; Discovery.known ends in inherited, and _settle is the one guard against a second answer to a future; the console's limit of an id is the store's. figures.py said that a cost was measured, which it was not.

--- a/millethead/console/calls.py
+++ b/millethead/console/calls.py
@@ -6,13 +6,13 @@
 from typing import Any, Protocol
 
 from millethead.console.figures import CONTENT_TYPE, Figures, render
+from millethead.console.store import NAME
 from millethead.net.accept import Reply
 from millethead.net.parse import Request
 
 METHODS = {"/ops/readiness": "GET", "/ops/stats": "GET", "/ops/booking-workers/down": "POST",
            "/ops/booking-workers/up": "POST"}
 WANTED = 'a JSON object with the id of a booking worker is wanted: {"member":"ID"}'
-ID = 256  # characters of an id, at most
 
 
 class UnknownMember(Exception):
@@ -78,7 +78,7 @@
     except (ValueError, RecursionError):
         return None
     member = raw.get("member") if isinstance(raw, dict) else None
-    usable = isinstance(member, str) and 0 < len(member) <= ID and member.isprintable()
+    usable = isinstance(member, str) and 0 < len(member) <= NAME and member.isprintable()
     return member if usable else None
 
 
--- a/millethead/console/figures.py
+++ b/millethead/console/figures.py
@@ -1,7 +1,7 @@
 """The figures as Prometheus reads them (text format 0.0.4, https://prometheus.io/docs/instrumenting/exposition_formats/).
 
 A few lines of our own: `prometheus-client` keeps counters of its own, which would be a second bookkeeping
-(docs/operation.md has what it costs in memory and start time).
+(docs/operation.md; what it costs in memory and start time is not measured).
 """
 
 from __future__ import annotations
--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -389,6 +389,16 @@
         self.own += job.slots
         w.mine[job.id] = sent + OVERDUE * job.own * self.pace.get(w.kind, 1.0) + GRACE, sent, job
 
+    def put_away(self, job: _Job, w: _Worker, sent: float) -> bool:
+        """Undo that; False where the worker has started anew since, and holds nothing of it."""
+        w.mine.pop(job.id, None)
+        if (sent, job.slots, job.memory) not in w.sent:
+            return False
+        w.sent.remove((sent, job.slots, job.memory))
+        w.held -= job.slots
+        self.own -= job.slots
+        return True
+
     def _send(self, job: _Job, w: _Worker, out: list[api.Action]) -> None:
         now = self.now
         self._unwait(job)
@@ -603,13 +613,8 @@
         if job is None or e.attempt not in job.out:
             return
         w, sent = job.out.pop(e.attempt)
-        w.mine.pop(job.id, None)
-        if (sent, job.slots, job.memory) in w.sent:
-            w.sent.remove((sent, job.slots, job.memory))
-            w.held -= job.slots
-            self.own -= job.slots
-            if e.outcome not in NEVER_RAN:
-                w.ended.append((now, sent, job.slots))
+        if self.put_away(job, w, sent) and e.outcome not in NEVER_RAN:
+            w.ended.append((now, sent, job.slots))
         w.odd = w.odd + 1 if e.unusable else 0
         if w.odd > ODD or not e.unusable:
             self._judge(w, job, e.outcome, e.elapsed, now)
--- a/millethead/decide/carry.py
+++ b/millethead/decide/carry.py
@@ -70,11 +70,7 @@
     said.update(out=[(n, w.id, sent) for n, (w, sent) in job.out.items()], taken=sorted(job.taken),
                 left=sorted(job.left), cls=job.cls, key=job.key, flow=job.flow.index, shape=job.shape[2])
     for w, sent in job.out.values():
-        w.mine.pop(job.id, None)
-        if (sent, job.slots, job.memory) in w.sent:
-            w.sent.remove((sent, job.slots, job.memory))
-            w.held -= job.slots
-            module.own -= job.slots
+        module.put_away(job, w, sent)
     return said
 
 
--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -134,11 +134,12 @@
         stream = IOStream(sock, max_buffer_size=READ_BUFFER, max_write_buffer_size=WRITE_BUFFER)
         conn = Connection(stream)
         conn.buffer.put(data)
+        conn.keeps = keeps
         if owed is None:
             self.rest(conn, rank)
-        IOLoop.current().spawn_callback(self.keep, conn, self.talk(conn, rank, keeps, owed))
+        IOLoop.current().spawn_callback(self.keep, conn, self.talk(conn, rank, owed))
 
-    async def talk(self, conn: Connection, rank: int = FRESH, keeps: bool = True, owed: Owed | None = None) -> None:
+    async def talk(self, conn: Connection, rank: int = FRESH, owed: Owed | None = None) -> None:
         faults, since = 0, time.monotonic()
         while True:
             if owed is not None:
@@ -148,13 +149,12 @@
                 if request is None:
                     return
                 self.work(conn)
-                keeps, method = request.keep, request.method
-                conn.keeps = keeps
+                conn.keeps, method = request.keep, request.method
                 reply = await self.front(conn, request)
             if reply is None:
                 return
             faults = faults + 1 if reply.status >= 400 and not reply.job else 0
-            keep = keeps and not self.closing and faults < FAULTS
+            keep = conn.keeps and not self.closing and faults < FAULTS
             message = format_answer(reply.status, reply.body, reply.fields, keep)
             if method == "HEAD":  # its answer has no body, whatever length it tells
                 message = message[:len(message) - len(reply.body)]
--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -90,14 +90,13 @@
 
     def known(self, raw: Any) -> None:
         """Start from the list of the last run, if it can be read."""
-        lines: list[Listed] = []
+        index, lines = self.index, list[Listed]()
         try:
             if raw is not None:
                 index, _, lines = self.names.read(raw)
-                self.index = index
         except BadList as bad:
             log.warning("known_list_bad", why=str(bad))
-        self.exchange.listed(self.side, ListForm.CACHED, lines)
+        self.inherited(index, lines)
 
     def inherited(self, index: int | None, lines: list[Listed]) -> None:
         """Start from the list of the process before this one."""
--- a/millethead/net/exchange.py
+++ b/millethead/net/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 
 from tornado.ioloop import IOLoop
 
@@ -40,15 +41,15 @@
         return _Timer(IOLoop.current().call_later(max(0.0, delay) / 1000, call))
 
 
+def _settle(future: asyncio.Future[Answer | None], answer: Answer | None) -> None:
+    if not future.done():
+        future.set_result(answer)
+
+
 def awaited() -> tuple[asyncio.Future[Answer | None], Reply]:
     """A job's answer to be, and the call that gives it."""
     future: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
-
-    def settle(answer: Answer | None) -> None:
-        if not future.done():
-            future.set_result(answer)
-
-    return future, settle
+    return future, partial(_settle, future)
 
 
 async def exchange_job(stage: Stage, conn: Connection, order: Order) -> Answer | None:
@@ -65,8 +66,7 @@
     def left() -> None:
         if number:
             stage.withdraw(number)
-        if not future.done():
-            future.set_result(None)
+        _settle(future, None)
 
     conn.on_close(left)
     try:
--- a/millethead/succession/succession.py
+++ b/millethead/succession/succession.py
@@ -6,7 +6,7 @@
 import os
 import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -134,11 +134,7 @@
         if self.after is not None:  # the newest counts
             self.after.close()
             self._successor_gone()
-        link = self.after = Link(sock, lambda *came: self._from(link, *came), lambda: self._lost(link))
-
-    def _lost(self, link: Link) -> None:
-        if link is self.after:
-            self._successor_gone()
+        link = self.after = Link(sock, lambda *came: self._from(link, *came), self._successor_gone)
 
     def _successor_gone(self) -> None:
         self.after = None
@@ -155,13 +151,10 @@
             link.send("listener", {}, handed=os.dup(listener.fileno()))
         lines = [_raw(worker.name, worker.address, worker.entry) for worker in self.exchange.workers
                  if worker.side is self.workers]
-        for at in range(0, len(lines), CHUNK):
-            link.send("workers", {"lines": lines[at:at + CHUNK]})
+        _send_rows(link, "workers", "lines", lines)
         link.send("out", {"names": sorted(self.exchange.out)})
         module = self.exchange._module
-        known = carry.workers(module)
-        for at in range(0, len(known), CHUNK):
-            link.send("known", {"workers": known[at:at + CHUNK]})
+        _send_rows(link, "known", "workers", carry.workers(module))
         link.send("end", {"index": self.discovery.index, "offset": self.clock.offset, "figures": carry.figures(module)})
 
     async def hand_over(self, until: float) -> None:
@@ -284,9 +277,7 @@
     async def elsewhere(self, body: bytes, but: Link | None = None) -> bool | None:
         """Ask the other processes of this dispatcher whether news was for a job of theirs; None if one does not say
         so in time."""
-        for link in (self.before, self.after):
-            if link is None or link is but or not link.open:
-                continue
+        for link in self._others(but):
             if len(self._asked) >= ASKED:
                 return None
             self._asks += 1
@@ -328,9 +319,8 @@
 
     def _heard(self, lines: list[Listed], but: Link | None = None) -> None:
         shut = [_raw(line.name, line.address, line) for line in lines if line.state is not WorkerState.READY]
-        for link in self._others(but) if shut else ():
-            for at in range(0, len(shut), CHUNK):
-                link.send("shut", {"lines": shut[at:at + CHUNK]})
+        for link in self._others(but):
+            _send_rows(link, "shut", "lines", shut)
 
     def _take_shut(self, lines: list[Listed], link: Link) -> None:
         """Drains that another process was told of; one that knows a later start of the worker is not touched."""
@@ -345,9 +335,14 @@
 
     def close(self) -> None:
         self.meeting.close()
-        for link in (self.before, self.after):
-            if link is not None:
-                link.close()
+        for link in self._others(None):
+            link.close()
+
+
+def _send_rows(link: Link, what: str, key: str, rows: Sequence[Any]) -> None:
+    """As many messages as the rows need; none without rows."""
+    for at in range(0, len(rows), CHUNK):
+        link.send(what, {key: rows[at:at + CHUNK]})
 
 
 def _raw(name: str, address: tuple[str, int] | None, entry: Any) -> list[Any]:
