A process that ends answers who has just connected, and empties its listener's queue

Seen: in releases under load a few jobs got a reset or a close without a word (4 of 97,451; six in one run of a test, whose bound was then loosened to 5%). The guess was the listener's queue.

Checked: a probe of five runs of three releases each, 40 jobs a second at each dispatcher, holds each broken connection against the end of its process: 4 of 22,407. Three ended with a close, 0.29 to 0.36 s before their process was gone and 6 to 24 ms after connecting: Acceptor.drain closed idle connections, and one that is up but has not asked yet counts as idle. One was reset with the queue, as guessed. Ruled out: a process alone (0 of 13,900 over 72 ends), the workers (none of the four had run).

Change: drain leaves fresh connections; Server.finish takes what stands in the queue, closes the listener, and gives those who came before that 0.25 s at most, within the time before SIGKILL. A paused listener is a successor's: left alone. Not taken: a socket filter that drops SYNs before the close (a second's wait for each client it meets), since nothing was left to gain.

The test's bound is 0 again. Two tests fail without the change.

--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import structlog
 from tornado.ioloop import IOLoop
@@ -25,6 +27,8 @@
 ASKED_TIME = 10.0  # s on one that has asked for something else only
 LINGER, LINGER_BYTES = 1.0, 256 << 10  # s and bytes to let a peer read why it was turned away
 FAULTS = 16  # answers of 4xx or 5xx in a row after which a connection ends: a bad client asks again at once
+BACKLOG = 512  # connections in a listener's queue
+POLL = 0.01  # s
 LEAVING, FRESH, ASKED, USUAL = range(4)  # who makes room first: the lower, and among equals the longest there
 
 
@@ -47,7 +51,7 @@
 
     def __init__(self, limit: int) -> None:
         super().__init__(max_buffer_size=READ_BUFFER)
-        self.limit = limit
+        self.limit, self.paused = limit, False
         self.open: set[Connection] = set()
         self.idle: dict[Connection, tuple[int, float]] = {}  # those that may be closed to make room
 
@@ -84,10 +88,12 @@
 
     def pause(self) -> None:
         """Leave new connections to others that listen on the same socket."""
+        self.paused = True
         for fd in self._sockets:
             IOLoop.current().remove_handler(fd)
 
     def resume(self) -> None:
+        self.paused = False
         self.add_sockets(list(self._sockets.values()))
 
     def rest(self, conn: Connection, rank: int) -> None:
@@ -112,6 +118,22 @@
                 return True
         return False
 
+    async def finish(self, seconds: float) -> None:
+        """Close the listener, and answer whoever came before that, for so long at most. The system resets what stands
+        in the queue of a listener that is closed, so that is taken first; one that is paused is another's to take."""
+        for listener in () if self.paused else list(self._sockets.values()):
+            with suppress(OSError):  # nobody else stands there
+                for _ in range(BACKLOG):
+                    sock, address = listener.accept()
+                    stream = IOStream(sock, max_buffer_size=READ_BUFFER)
+                    IOLoop.current().spawn_callback(self.handle_stream, stream, address)
+        self.stop()
+        self._sockets.clear()  # a successor that dies now must not have them listened on again
+        until = time.monotonic() + seconds
+        await asyncio.sleep(POLL)
+        while self.open and time.monotonic() < until:
+            await asyncio.sleep(POLL)
+
     def close_all(self) -> None:
         for conn in list(self.open):
             conn.close()
@@ -213,8 +235,9 @@
             pass
 
     def drain(self) -> None:
-        """From now on connections end with their answer, and those that stand idle at once."""
+        """From now on connections end with their answer, and those that stand idle at once; but who has only just come
+        is about to ask."""
         self.closing = True
-        for conn in list(self.idle):
-            if conn.unheard():  # else a request of it waits to be read
+        for conn, (rank, _) in list(self.idle.items()):
+            if rank != FRESH and conn.unheard():  # else a request of it waits to be read
                 conn.close()
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import threading
 import time
@@ -21,7 +22,7 @@
 from millethead.exchange.core import Exchange
 from millethead.exchange.stage import Stage
 from millethead.fronts.platform import PlatformFront
-from millethead.net.accept import Acceptor
+from millethead.net.accept import BACKLOG, Acceptor
 from millethead.net.discovery import Discovery, Names
 from millethead.net.exchange import LoopClock
 from millethead.net.news import read_news
@@ -45,6 +46,8 @@
 GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
 # ms after SIGTERM in which no SIGKILL comes: the longest deadline, or so much where it is longer, and more
 LONGEST, MORE = 3000.0, 700.0
+# s that clients who have just come have for their request when all else is answered, and for what follows that
+LAST, CLOSING = 0.25, 0.05
 CALLERS = 16  # connections of the staff at once: descriptors are kept back for them
 ANSWERED, TAKEN = 100.0, 800.0  # ms before that by which all is answered, and nothing is taken any more
 REPORT_NAMES = ("rif", "inflight", "q", "queue", "busy", "util", "x0", "x1")
@@ -127,6 +130,7 @@
             self.console = Console(Calls(self.desk), CALLERS)
         self.goes_on = GOES_ON
         self._leaving: asyncio.Task[None] | None = None
+        self._until = math.inf  # steady clock, s: when it has to end, once it was told to
         self.serving = asyncio.Event()
         self._ended = asyncio.Event()
 
@@ -175,8 +179,7 @@
         await self._ended.wait()
         if self._leaving is not None:
             self._leaving.cancel()
-        await asyncio.sleep(0.05)  # the last answers are still being written
-        self.acceptor.stop()
+        await self.acceptor.finish(max(0.05, min(LAST, self._until - time.monotonic())))
         if self.faktory is not None:
             self.faktory.stop()
             self.faktory.close_all()
@@ -288,6 +291,7 @@
         if self.members is not None:
             self.members.drain()
         alive = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + MORE
+        self._until = time.monotonic() + alive / 1000 - CLOSING
         self._leaving = loop.create_task(self._leave(alive))
 
     async def _leave(self, alive: float) -> None:
@@ -328,7 +332,7 @@
 def _listen(server: TCPServer, address: tuple[str, int], reuse_port: bool = False) -> None:
     host, port = address
     try:
-        sockets = bind_sockets(port, host, backlog=512, reuse_port=reuse_port)
+        sockets = bind_sockets(port, host, backlog=BACKLOG, reuse_port=reuse_port)
     except OSError as error:
         raise ConfigError(f"cannot listen on {host}:{port}: {error}") from None
     server.add_sockets(sockets)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +16,7 @@
 
 import structlog
 from play import PATIENCE, SETTINGS, Peers, Stage, endpoint
+from tornado.ioloop import IOLoop
 
 from millethead.config import ConfigError
 from millethead.decide.interface import WorkerState
@@ -177,6 +179,22 @@
             await asyncio.wait_for(self.play(stage.program, stage.port("client"), taken), PATIENCE)
             await asyncio.wait_for(stage.task, PATIENCE)
 
+    async def test_who_stands_in_the_queue_of_the_listener_as_it_closes_is_answered(self):
+        """The system resets them: 4 of 4,400 jobs of a release that came just then."""
+        loop = asyncio.get_running_loop()
+        async with Stage() as stage:
+            for fd in stage.program.acceptor._sockets:
+                IOLoop.current().remove_handler(fd)  # as a loop that is busy elsewhere, until the listener closes
+            peers = [socket.create_connection(("127.0.0.1", stage.port("client"))) for _ in range(20)]
+            for sock in peers:
+                sock.sendall(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+                sock.setblocking(False)
+            stage.program.drain()
+            for sock in peers:
+                self.assertIn(b" 503 ", await asyncio.wait_for(loop.sock_recv(sock, 100), PATIENCE))
+                sock.close()
+            await asyncio.wait_for(stage.task, PATIENCE)
+
     async def work(self, worker, taken):
         """A worker that takes every job and says nothing more of it."""
         while True:
@@ -197,6 +215,8 @@
                "X-Tenant-Id: rioni-hub\r\nX-Timeout: 7.5\r\nContent-Length: 0\r\n\r\n")
         first = await asyncio.open_connection("127.0.0.1", port)
         idle = await asyncio.open_connection("127.0.0.1", port)
+        idle[1].write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        await idle[0].readuntil(b"ready\n")
         first[1].write(job.format(1).encode())
         self.assertEqual(await taken.get(), b"a1")
         self.addCleanup(signal.signal, signal.SIGINT, signal.getsignal(signal.SIGINT))
@@ -206,8 +226,13 @@
         second = await asyncio.open_connection("127.0.0.1", port)
         second[1].write(job.format(2).encode())  # taken as before
         self.assertEqual(await taken.get(), b"a2")
+        fresh = await asyncio.open_connection("127.0.0.1", port)
+        while len(program.acceptor.open) < 4:
+            await asyncio.sleep(0)
         program.drain()
         self.assertEqual(await idle[0].read(), b"")  # what stands idle is closed
+        fresh[1].write(job.format(4).encode())  # on its way as the others were closed
+        self.assertIn(b" 503 ", await fresh[0].read())
         third = await asyncio.open_connection("127.0.0.1", port)
         third[1].write(job.format(3).encode())
         self.assertIn(b" 503 ", await third[0].read())
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -117,9 +117,7 @@
         self.assertEqual((await self.ask(pack, "d1", "/fleet/undo"))[0], 200)
         print(f"undone in {await pack.reach('d1', 'undone'):.2f} s")
         self.assertEqual(set(self.versions(pack).values()), {"2"})
-        self.assertEqual(pack.total(-2), 0)
-        # what comes just as the listener of a process without a successor closes is reset (docs/rollout.md)
-        self.assertLess(pack.total(-1), 0.05 * pack.total(200))
+        self.assertEqual(pack.total(-1, -2), 0)
         self.assertGreater(pack.total(200), 300)
         self.holds(pack)
 
