Voters change in service, and a dead steward's part of the limits goes to another

Need: of a fleet's three voters two may go for good, one after the other, and until now all dispatchers had to stop to change the list; a dead steward's part of every limit lay idle until a process of its name was back.

The agreed value names who decides on the next change, and whose the parts are. A round asks those that the newest value it heard of names, and needs a majority of them; lists that differ by one name share a member in any two majorities. Not taken: a joint majority of two lists (a state between), a new register per list (who knows the old one asks in vain). A steward lends only within `office` of a look at what a majority agreed; who is given a part waits for that and a lease more, 2% longer. Not taken: an operator's word that the old process is gone (the bound would rest on it).

Real processes: two of three voters and stewards replaced one after the other, with a process that starts from the old file.

--- a/millethead/lab/audit.py
+++ b/millethead/lab/audit.py
@@ -72,3 +72,16 @@
             twice += [line.fields["token"]] if line.fields["token"] in seen else []
             seen.add(line.fields["token"])
     return twice
+
+
+def two_histories(said: Iterable[Said]) -> list[str]:
+    """Revisions of what is agreed that two dispatchers learned differently: there must be none."""
+    seen: dict[str, tuple[str, ...]] = {}
+    told = ("out", "release", "moved", "voters", "stewards")
+    found = []
+    for line in said:
+        if line.event == "rollout_agreed":
+            rev, what = line.fields["rev"], tuple(line.fields[key] for key in told)
+            if seen.setdefault(rev, what) != what:
+                found.append(f"{rev}: {seen[rev]} and {what}")
+    return found
--- a/millethead/lab/world.py
+++ b/millethead/lab/world.py
@@ -63,11 +63,15 @@
             for name, member in self.members.items():
                 if name not in self.killed | self.paused:
                     self.post(name, member.tick(self.clock(name)))
+            self.turn()
             everybody = [*self.members.items(), *self.ghosts]
             total = sum(member.units(self.clock(name)) for name, member in everybody)
             self.most = max(self.most, total)
             assert total <= UNITS, (self.seed, self.now, total / UNITS)
 
+    def turn(self) -> None:
+        """What else happens in a step."""
+
     def view(self, of: str, about: str) -> State:
         return self.members[of].peers[about].state
 
--- a/millethead/members/share.py
+++ b/millethead/members/share.py
@@ -59,13 +59,13 @@
         self.part, self.lease = UNITS // stewards, lease * (1 + DRIFT)
         self.fleet = Largest(window)
         # whatever an earlier process of this steward lent must have run out before anything is lent anew
-        self.opens = now + self.lease
+        self.opens, self.closes = now + self.lease, math.inf
         self._given: dict[Holder, _Given] = {}
 
     def ask(self, now: float, holder: Holder, seq: int, fleet: int) -> int | None:
         """How much `holder`, which counts `fleet` members, may use for a lease from the moment it asked; None: no
-        answer (a question that is older than one answered, or no room)."""
-        if now < self.opens:
+        answer (a question that is older than one answered, no room, or nothing is lent now)."""
+        if not self.opens <= now < self.closes:
             return None
         self.fleet.put(now, fleet)
         given = self._given.get(holder)
@@ -143,7 +143,7 @@
         self._own.put(now, count)
         fresh = self.fresh(now)
         known = max([self._own.get(now), *(g.fleet for g in fresh.values())])
-        if known > self.fleet or 2 * len(fresh) > len(self.stewards):
+        if known > self.fleet or 2 * sum(name in fresh for name in self.stewards) > len(self.stewards):
             self.fleet = known
 
     def fresh(self, now: float) -> dict[str, Grant]:
--- a/millethead/members/shell.py
+++ b/millethead/members/shell.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import errno
+import math
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import structlog
@@ -15,6 +16,7 @@
 from millethead.config import ConfigError
 from millethead.console.figures import More
 from millethead.logs import Sparing
+from millethead.members.offices import Office
 from millethead.members.setup import MembersSetup
 from millethead.members.share import UNITS
 from millethead.members.swim import Out, Record, Settings, State, Swim
@@ -29,10 +31,12 @@
     """Joins the fleet at `start`, says so at `leave`. Each change of another member's state is logged as `member`, each
     change of what this one may use of fleet-wide limits as `fleet_share`; `on_share` is told of the latter:
     (part of the limits, time.monotonic() until which it may be used, fleet reckoned with, own place in it). `takes`
-    says why this process takes no clients, with nothing while it does; the others hear whether it does."""
+    says why this process takes no clients, with nothing while it does; the others hear whether it does. `office` (s):
+    how long a steward lends once its office is confirmed, where the fleet agrees on offices."""
 
     def __init__(self, setup: MembersSetup, name: str, console: str, seed: int,
-                 on_share: Callable[[float, float, int, int], None], takes: Callable[[], str] = str) -> None:
+                 on_share: Callable[[float, float, int, int], None], takes: Callable[[], str] = str,
+                 office: float = math.inf) -> None:
         if len(name) > 64:
             raise ConfigError(f"members: a name of at most 64 characters is wanted, not {name!r}")
         self.wire, self.dropped = Wire(setup.key(), setup.fleet), Counter[str](dict.fromkeys(CAUSES, 0))
@@ -41,7 +45,7 @@
                          version=setup.version or __version__)
         self.swim = Swim(self.me, Settings(period=setup.period / 1000, timeout=setup.timeout / 1000,
                                            window=setup.window / 1000, lease=setup.lease / 1000,
-                                           stewards=tuple(setup.stewards)), time.monotonic(), seed)
+                                           stewards=tuple(setup.stewards), office=office), time.monotonic(), seed)
         self.setup, self.on_share, self._known = setup, on_share, dict[str, tuple[int, int]]()
         self.bytes_sent = 0
         self._takes, self._drains = takes, False
@@ -84,6 +88,11 @@
         self._drains = True
         self.swim.say(drain=True, ready=False)
 
+    def offices(self, offices: Sequence[Office]) -> None:
+        """Whose the parts of the limits are, as the fleet has agreed."""
+        if offices:
+            self.swim.offices.learn(time.monotonic(), offices)
+
     # ---- datagrams -----------------------------------------------------------------------------------
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -182,7 +191,7 @@
 
         state = State.ALIVE
         return {"member": self.me.name, "fleet": self.setup.fleet, "reckons_with": swim.share.fleet,
-                "share": round(swim.units(now) / UNITS, 6), "stewards": list(self.setup.stewards),
+                "share": round(swim.units(now) / UNITS, 6), "stewards": list(swim.share.stewards),
                 "health": swim.health,
                 "members": [line(swim.me, state, swim.incarnation, 0.0), *(
                     line(p.record, State(p.state), p.incarnation, now - p.heard)
--- a/millethead/members/swim.py
+++ b/millethead/members/swim.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from millethead.members.offices import Offices
 from millethead.members.share import Share, Steward
 
 
@@ -83,6 +84,7 @@
     sync_every: int = 20  # a full push-pull every so many periods
     seek_every: int = 4  # and one with a member believed dead, who may be behind a cut that has healed
     stewards: tuple[str, ...] = ()
+    office: float = math.inf  # s for which a steward lends once its office is confirmed; infinite: it keeps it for good
 
 
 @dataclass(slots=True)
@@ -122,8 +124,7 @@
         self.me, self.settings, self.incarnation, self.health = me, settings, int(me.start * 1000), 0
         self.peers: dict[str, Peer] = {}
         self.share = Share(settings.stewards, settings.lease, settings.window)
-        self.steward = Steward(len(settings.stewards), settings.lease, settings.window, now) \
-            if me.name in settings.stewards else None
+        self.offices = Offices(me.name, self.share, settings.window, settings.office, now)
         self.counts = {"probes": 0, "suspicions": 0, "refutations": 0, "deaths": 0, "false_deaths": 0}
         self._random, self._seq, self._order = random.Random(seed), 0, list[str]()
         self._probes: dict[int, Probe] = {}
@@ -186,7 +187,7 @@
                 self.counts["deaths"] += 1
         if now >= self._next:
             out += self._period(now, stretch)
-        if now >= self._ask_at and self.settings.stewards:
+        if now >= self._ask_at and self.share.stewards:
             self._ask_at = now + self.settings.lease / 4
             out += self._ask(now)
         if self._urgent:  # news of a member's state goes on at once, to a few; the probes carry it to the others
@@ -244,11 +245,15 @@
         out = [self._send(p, "sync", 1, updates=word) for p in self.peers.values() if p.state != State.LEFT]
         self.share.drop()
         self._seq += 1
-        for name in self.settings.stewards:
+        for name in self.share.stewards:
             if name in self.peers:
                 out.append(self._send(self.peers[name], "release", self._seq))
         return out
 
+    @property
+    def steward(self) -> Steward | None:
+        return self.offices.steward
+
     # --- messages
     def receive(self, now: float, message: Message) -> list[Out]:
         if self._gone:
@@ -315,7 +320,7 @@
     def _ask(self, now: float) -> list[Out]:
         """Ask each steward for the next lease; itself, if it is one, without a message."""
         out: list[Out] = []
-        for name in self.settings.stewards:
+        for name in self.share.stewards:
             self._seq += 1
             if name == self.me.name and self.steward is not None:
                 units = self.steward.ask(now, (name, self.me.start), self._seq, self.counted())
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -163,7 +163,8 @@
 
             console = self.config.console
             self.members = Members(self.operator.members, self.config.name, f"{console[0]}:{console[1]}" if console
-                                   else "", self.config.seed, self._in_fleet, self.takes)
+                                   else "", self.config.seed, self._in_fleet, self.takes,
+                                   self.operator.rollout.office / 1000 if self.operator.rollout else math.inf)
             if self.desk is not None and self.console is not None:
                 from millethead.members.calls import members_call
 
--- a/millethead/rollout/calls.py
+++ b/millethead/rollout/calls.py
@@ -16,7 +16,7 @@
 from millethead.net.parse import Request
 from millethead.rollout import state as agreed
 from millethead.rollout.register import Refused
-from millethead.rollout.shell import NoMajority, Rollout
+from millethead.rollout.shell import TRY, NoMajority, Rollout
 from millethead.rollout.state import DISPATCHERS, MOST_NAMED, Health, Release, State
 from millethead.tables import Table, read_table
 
@@ -39,6 +39,20 @@
         return self.member or self.worker
 
 
+class Voter(Table, frozen=True, kw_only=True):
+    """A dispatcher that is to decide with the others, or no more."""
+
+    add: Annotated[str, Meta(max_length=64)] = ""
+    remove: Annotated[str, Meta(max_length=64)] = ""
+
+
+class Heir(Table, frozen=True, kw_only=True):
+    """A steward whose part of the fleet's limits goes to another dispatcher."""
+
+    replace: Annotated[str, Meta(min_length=1, max_length=64)]
+    by: Annotated[str, Meta(min_length=1, max_length=64)]
+
+
 class Limits(Table, frozen=True, kw_only=True):
     """Unhealthy: parts above those not yet moved, a multiple of their time; answers before a class is judged."""
 
@@ -69,7 +83,8 @@
     desk = FleetDesk(rollout)
     posts: dict[str, Callable[[Any], Awaitable[State]]] = {
         "/fleet/drain": desk.drain, "/fleet/release": desk.release, "/fleet/halt": desk.halt,
-        "/fleet/resume": desk.resume, "/fleet/undo": desk.undo}
+        "/fleet/resume": desk.resume, "/fleet/undo": desk.undo, "/fleet/voters": desk.voters,
+        "/fleet/stewards": desk.stewards}
     return {"/fleet": ("GET", desk.page), **{path: ("POST", partial(desk.post, do)) for path, do in posts.items()}}
 
 
@@ -154,6 +169,24 @@
             return await self.rollout.change(lambda s: agreed.call_back(s, named.name))
         return await self.rollout.change(agreed.undo)
 
+    async def voters(self, raw: Any) -> State:
+        named, rollout = read_table(raw, Voter, "voters"), self.rollout
+        if bool(named.add) == bool(named.remove):
+            raise ConfigError('voters: {"add":"NAME"} or {"remove":"NAME"} is wanted, one of them')
+        if named.remove:
+            return await rollout.change(lambda s: agreed.drop_voter(s, named.remove, self._dispatchers()))
+        if named.add not in self._dispatchers():
+            raise Unknown(f"no dispatcher {named.add!r} is there: see GET /members")
+        if named.add not in rollout.voters and not await rollout.votes(named.add, TRY / 2):
+            raise Refused(f"{named.add} does not answer as a voter: its file needs [rollout]")
+        return await rollout.change(lambda s: agreed.add_voter(s, named.add), TRY / 2)
+
+    async def stewards(self, raw: Any) -> State:
+        named = read_table(raw, Heir, "stewards")
+        if named.by not in self._dispatchers():
+            raise Unknown(f"no dispatcher {named.by!r} is there: see GET /members")
+        return await self.rollout.change(lambda s: agreed.replace_steward(s, named.replace, named.by))
+
     def _dispatchers(self) -> dict[str, float]:
         """The dispatchers that are there, and the start of each."""
         views, members = self.rollout.views(), self.rollout.members
--- a/millethead/rollout/driver.py
+++ b/millethead/rollout/driver.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from functools import partial
 
@@ -33,6 +33,17 @@
         self._gone: dict[int, float] = {}  # slot -> since when its subject is not there
         self._slow: dict[tuple[str, str], float] = {}  # (way, subject) -> since when its move is owed
         self._soak: tuple[int, int, float] | None = None  # (release, step, since)
+        self._vacant: dict[str, float] = {}  # steward -> since when it is not there
+
+    def offices(self, now: float, state: State, there: Collection[str]) -> list[tuple[str, Change]]:
+        """The part of a steward that has not been there for a lease goes to a dispatcher that is `there`."""
+        names = [office.name for office in state.offices]
+        self._vacant = {name: self._vacant.get(name, now) for name in names if name not in there}
+        heir = min((name for name in there if name not in names), default=None)
+        gone = next((name for name, since in self._vacant.items() if now - since > self.lease), None)
+        if heir is None or gone is None:
+            return []
+        return [(f"the part of {gone} goes to {heir}", partial(agreed.replace_steward, old=gone, new=heir))]
 
     def tick(self, now: float, state: State, views: Mapping[str, View], most: Callable[[str], int],
              unhealthy: Callable[[Release], str]) -> list[tuple[str, Change]]:
--- a/millethead/rollout/register.py
+++ b/millethead/rollout/register.py
@@ -60,12 +60,19 @@
 
 class Round:
     """One try of a proposer, under one ballot. `change` makes the new value of the old one, once, when a majority has
-    promised; it may raise Refused, and then the old value is confirmed, so that the refusal rests on what is agreed."""
+    promised; it may raise Refused, and then the old value is confirmed, so that the refusal rests on what is agreed.
 
-    __slots__ = ("_accepted", "_change", "_found", "_promised", "ballot", "lost", "old", "refused", "value", "voters")
+    A value may name the voters that decide on the next one (`named`; none: the first ones). So `voters` become those of
+    the newest value heard of, and a majority of these must have promised: whoever starts from an old list is led to the
+    present one. It is enough that each change adds or takes away one voter: a majority before it and one after it meet.
+    """
 
-    def __init__(self, ballot: Ballot, voters: tuple[str, ...], change: Callable[[bytes], bytes]) -> None:
-        self.ballot, self.voters, self._change = ballot, voters, change
+    __slots__ = ("_accepted", "_change", "_found", "_named", "_promised", "ballot", "lost", "old", "refused", "value",
+                 "voters")
+
+    def __init__(self, ballot: Ballot, voters: tuple[str, ...], change: Callable[[bytes], bytes],
+                 named: Callable[[bytes], tuple[str, ...]] = lambda value: ()) -> None:
+        self.ballot, self.voters, self._change, self._named = ballot, voters, change, named
         self.value: bytes | None = None
         self.old = b""
         self.refused: Refused | None = None
@@ -82,21 +89,24 @@
         return Word("prepare", self.ballot) if self.value is None else Word("accept", self.ballot, ZERO, self.value)
 
     def take(self, voter: str, word: Word) -> bool:
-        """A voter's answer; returns whether there is something new to ask."""
-        if word.ballot != self.ballot or voter not in self.voters or self.lost is not None:
+        """A voter's answer; returns whether there is something new to ask, or somebody else."""
+        if word.ballot != self.ballot or self.lost is not None:
             return False
         if word.kind == "nack":
             self.lost = word.accepted
         elif word.kind == "promise" and self.value is None:
+            before = self.voters
             if word.accepted > self._found:
                 self._found, self.old = word.accepted, word.value
+                self.voters = self._named(self.old) or self.voters
             self._promised |= {voter}
-            if 2 * len(self._promised) > len(self.voters):
+            if 2 * len(self._promised & set(self.voters)) > len(self.voters):
                 try:
                     self.value = self._change(self.old)
                 except Refused as why:
                     self.value, self.refused = self.old, why
                 return True
-        elif word.kind == "accepted" and self.value is not None:
+            return self.voters != before
+        elif word.kind == "accepted" and self.value is not None and voter in self.voters:
             self._accepted |= {voter}
         return False
--- a/millethead/rollout/setup.py
+++ b/millethead/rollout/setup.py
@@ -20,7 +20,8 @@
     same in every file; a majority of them decides. `dispatchers`: how many may be out at once, a count or a share as
     "20%" (of those there, rounded down, at least one unless it is 0%); `pools`: the same for booking workers, by type.
     Times in ms: `lease` after which the slot of a member that died comes back, `back` within which one that a release
-    moves has to be back and serving."""
+    moves has to be back and serving, `office` for which a steward lends shares after a majority has confirmed
+    it as one: so long after it was replaced its part is lent by the new one."""
 
     folder: str
     voters: Annotated[list[Name], Meta(min_length=1, max_length=15)]
@@ -28,6 +29,7 @@
     pools: dict[str, Budget] = {}
     lease: Annotated[float, Meta(ge=100, le=86_400_000)] = 600_000.0
     back: Annotated[float, Meta(ge=100, le=86_400_000)] = 60_000.0
+    office: Annotated[float, Meta(ge=1_000, le=86_400_000)] = 60_000.0
 
 
 def most_out(budget: int | str, size: int) -> int:
--- a/millethead/rollout/shell.py
+++ b/millethead/rollout/shell.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import Mapping
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -15,13 +16,14 @@
 import structlog
 
 from millethead.config import ConfigError
+from millethead.members.offices import Office
 from millethead.members.shell import Members
 from millethead.members.wire import Seal
 from millethead.rollout import health
 from millethead.rollout import state as agreed
 from millethead.rollout.driver import Change, Driver, View
 from millethead.rollout.health import Counts
-from millethead.rollout.register import Acceptor, Refused, Round, Word
+from millethead.rollout.register import ZERO, Acceptor, Refused, Round, Word
 from millethead.rollout.setup import RolloutSetup, most_out
 from millethead.rollout.state import DISPATCHERS, Release, State
 from millethead.rollout.store import Store, write_lasting
@@ -48,6 +50,14 @@
     tables: dict[str, list[Counts]] = {}
 
 
+def _voters(value: bytes) -> tuple[str, ...]:
+    """Who decides on the change of a value: none named where it is of another version, which nobody here changes."""
+    try:
+        return agreed.read(value).voters
+    except ValueError:
+        return ()
+
+
 class Host(Protocol):
     """What the program does for it."""
 
@@ -78,19 +88,21 @@
         self.setup, self.members, self.host, self.classes = setup, members, host, classes
         self.me = members.me.name
         self.state, self.learned = State(), False
-        self.store = Store(Path(setup.folder), self.me) if self.me in setup.voters else None
-        self.acceptor = Acceptor(self.store.load()) if self.store is not None else None
+        self.store = Store(Path(setup.folder), self.me)  # whoever is no voter may become one
+        self.acceptor = Acceptor(self.store.load())
+        self._heard_of = _voters(self.acceptor.kept.value)
         self.driver = Driver(self.me, setup.lease / 1000)
         self._seal = Seal(members.setup.key(), members.setup.fleet, Note, MARK, MOST)
         self._random = random.Random(f"{self.me}{members.me.start}")
         self._rounds: dict[int, tuple[Round, asyncio.Event]] = {}
+        self._calls: dict[int, asyncio.Event] = {}  # questions whose answer says only that somebody votes
         self._seq, self._top = 0, 0
         self._lock, self._disk = asyncio.Lock(), asyncio.Lock()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._counts: dict[str, dict[str, list[Counts]]] = {}  # dispatcher -> subject -> by class, as last told
         self._base: dict[str, dict[str, list[Counts]]] = {}  # subject -> dispatcher -> the same when its judging began
         self._judged, self._going = 0, False
-        self._pushed = self._asked = 0.0
+        self._pushed = self._asked = self._confirms = 0.0
         members.others = (MARK, self._datagram)
 
     def start(self) -> None:
@@ -123,7 +135,7 @@
     async def _agree(self, change: Change, until: float) -> State:
         def renew(old: bytes) -> bytes:
             try:
-                return agreed.write(change(agreed.read(old)))
+                return agreed.write(change(self._begun(agreed.read(old))))
             except ValueError as why:  # of another version: not ours to change
                 raise Refused(str(why)) from None
 
@@ -132,7 +144,7 @@
             self._top += 1
             self._seq += 1
             who = f"{self.me}@{self.members.me.start}"  # a process started anew never uses a ballot of the one before
-            one, news = Round((self._top, who), tuple(self.setup.voters), renew), asyncio.Event()
+            one, news = Round((self._top, who), tuple(self.setup.voters), renew, _voters), asyncio.Event()
             self._rounds[self._seq] = one, news
             try:
                 while not one.agreed and one.lost is None and (left := until - time.monotonic()) > 0:
@@ -158,18 +170,49 @@
         raise NoMajority("no majority of the voters answered in time; " + (
             "the change may still come to be: see GET /fleet" if asked else "nothing was changed"))
 
+    def _begun(self, state: State) -> State:
+        """A state with who decides and who lends: at first those that the file names."""
+        return msgspec.structs.replace(
+            state, voters=state.voters or tuple(self.setup.voters),
+            offices=state.offices or tuple(Office(name) for name in self.members.setup.stewards))
+
     def _ask(self, seq: int, one: Round) -> None:
         word = one.ask()
-        for voter in self.setup.voters:
-            if voter == self.me:
-                self._spawn(self._vote(voter, seq, word))
-            else:
-                self._tell(voter, Note("ask", seq, self.me, word))
+        # the first voters may all be gone: those heard of since know who decides now
+        for voter in one.voters if one.value is not None else dict.fromkeys((*one.voters, *self.voters)):
+            self._ask_one(voter, seq, word)
+
+    def _ask_one(self, voter: str, seq: int, word: Word) -> None:
+        if voter == self.me:
+            self._spawn(self._vote(voter, seq, word))
+        else:
+            self._tell(voter, Note("ask", seq, self.me, word))
+
+    async def votes(self, name: str, seconds: float = TRY) -> bool:
+        """Whether a dispatcher answers as a voter would: it is to become one."""
+        self._seq += 1
+        seq, news = self._seq, asyncio.Event()
+        self._calls[seq] = news
+        try:
+            async with asyncio.timeout(seconds):
+                while not news.is_set():
+                    self._ask_one(name, seq, Word("prepare", ZERO))  # promises nothing that it had not promised
+                    with suppress(TimeoutError):
+                        async with asyncio.timeout(AGAIN):
+                            await news.wait()
+        except TimeoutError:
+            return False
+        finally:
+            del self._calls[seq]
+        return True
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Who decides, as far as this dispatcher has heard: agreed on, or else those that the file begins with."""
+        return self.state.voters or self._heard_of or tuple(self.setup.voters)
 
     async def _vote(self, asker: str, seq: int, word: Word) -> None:
         """A voter's answer, once what it promises is on disk."""
-        if self.acceptor is None or self.store is None:
-            return
         async with self._disk:
             before = self.acceptor.kept
             answer, changed = self.acceptor.take(word)
@@ -186,6 +229,8 @@
             self._tell(asker, Note("answer", seq, self.me, answer))
 
     def _answered(self, voter: str, seq: int, word: Word) -> None:
+        if seq in self._calls:
+            self._calls[seq].set()
         one, news = self._rounds.get(seq, (None, None))
         if one is not None and news is not None:
             if one.take(voter, word):
@@ -236,8 +281,11 @@
         if self.learned and state.rev <= self.state.rev:
             return
         old, self.state, self.learned = self.state, state, True
+        self.members.offices(state.offices)
         release = state.release
-        log.info("rollout_agreed", rev=state.rev, out=",".join(f"{s.subject}:{s.token}:{s.group}" for s in state.slots),
+        log.info("rollout_agreed", rev=state.rev, voters=",".join(state.voters),
+                 stewards=",".join(f"{o.name}:{o.token}" for o in state.offices),
+                 out=",".join(f"{s.subject}:{s.token}:{s.group}" for s in state.slots),
                  release=f"{release.id}:{release.status}:{release.at}" if release is not None else "",
                  moved=",".join(m.subject for m in release.moved) if release is not None else "",
                  why=release.why if release is not None else "", mono=time.monotonic())
@@ -261,6 +309,10 @@
     async def _turn(self) -> None:
         now = time.monotonic()
         await self._go()
+        if now >= self._confirms and self.me in self.members.swim.share.stewards:
+            await self.change(lambda state: state)
+            self.members.swim.offices.confirm(now, self.state.offices)
+            self._confirms = now + self.setup.office / 4000
         if not self._drives():
             return
         if not self.learned:
@@ -272,11 +324,13 @@
             self._asked = now
             for name in self.members.swim.alive():
                 self._tell(name, Note("health", 0, self.me))
-        if not self.state.slots and release is None:
+        changes = self.driver.offices(now, self.state, {self.me, *self.members.swim.alive()})
+        if self.state.slots or release is not None:
+            self._probe_out()
+            changes += self.driver.tick(now, self.state, self.views(), self.most, self.unhealthy)
+        else:
             self.driver.rest()
-            return
-        self._probe_out()
-        for what, change in self.driver.tick(now, self.state, self.views(), self.most, self.unhealthy):
+        for what, change in changes:
             try:
                 await self.change(change)
                 log.info("rollout_step", what=what, mono=time.monotonic())
@@ -289,7 +343,7 @@
 
     def _voters_there(self) -> list[str]:
         there = {self.me, *self.members.swim.alive()}
-        return [v for v in self.setup.voters if v in there]
+        return [v for v in self.voters if v in there]
 
     async def _go(self) -> None:
         """This dispatcher's own turn to go, if it has a slot: once."""
@@ -372,8 +426,9 @@
         state, release = self.state, self.state.release
         groups = [DISPATCHERS, *(WORKERS + kind for kind in self.setup.pools)]
         return {
-            "dispatcher": self.me, "known": self.learned, "rev": state.rev, "voters": list(self.setup.voters),
+            "dispatcher": self.me, "known": self.learned, "rev": state.rev, "voters": list(self.voters),
             "voters_there": self._voters_there(),
+            "stewards": [{"member": o.name, "token": o.token} for o in state.offices],
             "groups": {group: {"out": state.out(group), "max_out": self.most(group)} for group in groups},
             "out": [{"member": s.subject, "group": s.group, "token": s.token, "by": s.by, "begun": s.begun,
                      "version": s.version, "release": s.release} for s in state.slots],
--- a/millethead/rollout/state.py
+++ b/millethead/rollout/state.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
+from millethead.members.offices import Office
 from millethead.rollout.register import Refused
 
-SCHEMA = 1
+SCHEMA = 2  # 1 had no voters and no offices
 MOST_BYTES = 12_000  # of the state: it travels in one datagram
 MOST_NAMED = 64  # members in one plan
+MOST_VOTERS = 15
 DISPATCHERS = "dispatchers"
 RUNNING, HALTED, UNDOING, DONE, UNDONE = "running", "halted", "undoing", "done", "undone"
 
@@ -66,13 +68,16 @@
 
 
 class State(msgspec.Struct, frozen=True, array_like=True):
-    """`rev` rises with every change, `tokens` with every slot and release."""
+    """`rev` rises with every change, `tokens` with every slot and release; `voters` decide on the next change;
+    `offices`: the stewards of the fleet's limits, a part each."""
 
     schema: int = SCHEMA
     rev: int = 0
     tokens: int = 0
     slots: tuple[Slot, ...] = ()
     release: Release | None = None
+    voters: tuple[str, ...] = ()
+    offices: tuple[Office, ...] = ()
 
     @property
     def under_way(self) -> Release | None:
@@ -103,9 +108,9 @@
         state = _decoder.decode(value)
     except msgspec.MsgspecError as error:
         raise ValueError(f"not a state: {error}") from None
-    if state.schema != SCHEMA:
+    if state.schema not in (1, SCHEMA):
         raise ValueError(f"a state of version {state.schema}, not {SCHEMA}")
-    return state
+    return _replace(state, schema=SCHEMA)
 
 
 def write(state: State) -> bytes:
@@ -171,6 +176,40 @@
     return state
 
 
+# ---- voters ---------------------------------------------------------------------------------------------
+
+
+def add_voter(state: State, name: str) -> State:
+    """One at a time, so that a majority before the change and one after it always meet."""
+    if name in state.voters:
+        raise Refused(f"{name} is a voter already")
+    if len(state.voters) >= MOST_VOTERS:
+        raise Refused(f"there are {len(state.voters)} voters, and no more than {MOST_VOTERS} may be")
+    return _next(state, voters=(*state.voters, name))
+
+
+def drop_voter(state: State, name: str, there: Collection[str]) -> State:
+    """`there`: the dispatchers that are there, of whom a majority must be left: without one nothing is agreed again."""
+    if name not in state.voters:
+        raise Refused(f"{name} is no voter")
+    left = tuple(v for v in state.voters if v != name)
+    if 2 * sum(v in there for v in left) <= len(left):
+        raise Refused(f"of the voters left ({', '.join(left) or 'none'}) no majority would be there")
+    return _next(state, voters=left)
+
+
+def replace_steward(state: State, old: str, new: str) -> State:
+    """`new` has the part of `old` from now on, and lends when all that `old` may have lent has run out."""
+    names = [office.name for office in state.offices]
+    if old not in names:
+        raise Refused(f"{old} is no steward")
+    if new in names:
+        raise Refused(f"{new} is a steward already")
+    token = state.tokens + 1
+    return _next(state, tokens=token, offices=tuple(
+        Office(new, token) if office.name == old else office for office in state.offices))
+
+
 # ---- releases ------------------------------------------------------------------------------------------
 
 
--- a/millethead/rollout/store.py
+++ b/millethead/rollout/store.py
@@ -55,7 +55,7 @@
         found = [read for at in (0, PLACE) if (read := _read(raw[at:at + PLACE])) is not None]
         if not found:
             raise ConfigError(f"{self.path}: what this voter had promised cannot be read (torn, or of another "
-                              "version); bring the file back, or take the voter out of every list")
+                              "version); bring the file back, or vote this one out, delete it, start, and add it again")
         self._number, newest = max(found, key=lambda x: x[0])
         return newest
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,6 +3,7 @@
 import os
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from hypothesis import given, settings
@@ -13,6 +14,7 @@
 from millethead.lab.cold import ColdDay
 from millethead.lab.faults import Link
 from millethead.lab.world import TUNE, World
+from millethead.members.offices import Office
 from millethead.members.share import DRIFT, GRANTS, HOLDERS, UNITS, Largest, Share, Steward
 from millethead.members.swim import Message, Record, Settings, State, Update
 from millethead.members.wire import Dropped, Wire
@@ -159,6 +161,104 @@
         world.run(2)
 
 
+class Elected(World):
+    """Offices change hands: `agreed` is whose they are, and members look at it, late, or not at all while `mute`."""
+
+    def __init__(self, n, seed=0, link=None):
+        super().__init__(n, seed, replace(TUNE, office=3.0), link)
+        self.agreed, self.token, self.mute = tuple(Office(name) for name in TUNE.stewards), 0, set()
+        self.looks, self.known = [], {}
+
+    def give(self, old, new):
+        self.token += 1
+        self.agreed = tuple(Office(new, self.token) if o.name == old else o for o in self.agreed)
+
+    def turn(self):
+        for name, member in self.members.items():
+            if name not in self.killed | self.paused | self.mute and self.rng.random() < 0.2:
+                shows = self.now + self.rng.uniform(0, 0.6)
+                self.looks.append([shows, shows + self.rng.uniform(0, 0.6), name, member, self.clock(name), None])
+        for look in list(self.looks):
+            shows, told, name, member, asked, seen = look
+            if seen is None and shows <= self.now:
+                look[5] = seen = self.token, self.agreed
+            if told <= self.now and seen is not None and name not in self.paused:
+                self.looks.remove(look)
+                if seen[0] >= self.known.get(id(member), 0):
+                    self.known[id(member)] = seen[0]
+                    member.offices.learn(self.clock(name), seen[1])
+                    member.offices.confirm(asked, seen[1])
+        # what is lent, though a member may use less of it
+        lent = sum(g.units for name, member in (*self.members.items(), *self.ghosts)
+                   for g in member.share.fresh(self.clock(name)).values())
+        assert lent <= UNITS, (self.seed, self.now, lent / UNITS)
+
+
+class Replaced(unittest.TestCase):
+    def test_the_part_of_a_steward_that_is_cut_off_is_lent_by_another_after_all_it_may_have_lent(self):
+        world = Elected(5)
+        world.run(10)
+        self.assertAlmostEqual(world.part("d4"), 0.2, places=3)
+        world.faults.split({"d0", "d4"}, {"d1", "d2", "d3"})
+        world.mute |= {"d0", "d4"}
+        world.give("d0", "d3")
+        world.run(3.0 + TUNE.lease)
+        self.assertEqual(world.members["d3"].steward.lent(world.clock("d3")), 0)
+        self.assertEqual(world.part("d4"), 0.0)  # the one that is cut off has lent nothing since its office ran out
+        world.run(12)
+        self.assertGreater(sum(world.part(n) for n in ("d1", "d2", "d3")), 0.99)
+        world.faults.heal()
+        world.mute.clear()
+        world.run(15)
+        self.assertIsNone(world.members["d0"].steward)
+        self.assertAlmostEqual(world.part("d0"), 0.2, places=2)
+
+    def test_one_that_gets_its_part_back_without_having_heard_that_it_lost_it_waits_too(self):
+        world = Elected(5)
+        world.run(10)
+        world.mute = {"d0"}
+        world.give("d0", "d3")
+        world.run(12)
+        self.assertGreater(world.members["d3"].steward.lent(world.clock("d3")), 0)
+        world.mute = {"d3", "d4"}
+        world.give("d3", "d0")
+        world.run(3.0)
+        self.assertEqual(world.members["d0"].steward.lent(world.clock("d0")), 0)
+        world.run(5.0)
+        self.assertGreater(world.members["d0"].steward.lent(world.clock("d0")), 0)
+
+    @settings(max_examples=EXAMPLES, deadline=None)
+    @given(st.integers(0, 2**32), st.sampled_from((0.0, 0.2)), st.lists(st.tuples(
+        st.sampled_from(["give", "give", "mute", "mute", "hear", "cut", "heal", "kill", "pause", "back"]),
+        st.integers(0, 99), st.floats(0.2, 5.0)), max_size=12))
+    def test_the_sum_holds_while_parts_change_hands(self, seed, loss, script):
+        world = Elected(5, seed, Link(loss=loss, twice=loss, delay=0.0, jitter=0.3))
+        world.run(4)
+        for what, pick, seconds in script:
+            names = sorted(n for n in world.members if n not in world.killed)
+            name = names[pick % len(names)]
+            holders = [o.name for o in world.agreed]
+            if what == "give":
+                world.give(holders[pick % 3], [n for n in sorted(world.members) if n not in holders][pick % 2])
+            elif what == "mute":
+                world.mute = {n for i, n in enumerate(names) if pick >> i & 1}
+            elif what == "hear":
+                world.mute.clear()
+            elif what == "cut":
+                world.faults.split(names[:pick % len(names)], names[pick % len(names):])
+            elif what == "heal":
+                world.faults.heal()
+            elif what == "kill" and len(names) > 1:
+                world.killed.add(name)
+            elif what == "pause":
+                world.paused.add(name)
+            elif what == "back" and world.killed:
+                world.join(sorted(world.killed)[pick % len(world.killed)], name)
+            world.run(seconds)
+            world.paused.clear()
+        world.run(2)
+
+
 class Book(RuleBasedStateMachine):
     """A steward and its holders alone, over a network that keeps every message and delivers any of them at any time,
     once more, or never: what holders may use never passes the steward's part."""
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -8,7 +8,7 @@
 import unittest
 from pathlib import Path
 
-from millethead.lab.audit import done_twice, gone_at_once, most_out, most_shared
+from millethead.lab.audit import done_twice, gone_at_once, most_out, most_shared, two_histories
 from millethead.lab.faults import Faults
 from millethead.lab.hour import SETTINGS
 from millethead.lab.staffed import Staffed
@@ -50,6 +50,7 @@
         self.assertLessEqual(gone_at_once(pack.said), dispatchers, SEED)
         self.assertEqual(done_twice(pack.said), [], SEED)
         self.assertEqual(pack.twice(), [], SEED)
+        self.assertEqual(two_histories(pack.said), [], SEED)
         self.assertLessEqual(most_shared(pack.said), 1.0, SEED)
 
     def versions(self, pack):
@@ -216,6 +217,38 @@
         self.assertEqual(self.versions(pack), dict.fromkeys(pack.nodes, "2"))
         self.holds(pack)
 
+    async def test_voters_and_stewards_that_are_gone_for_good_are_replaced_without_a_stop(self):
+        pack = await self.pack(5, "dispatchers = 1\npools = {newer-box = 1}\nlease = 3000\noffice = 1500")
+        # d0 and d1, of the three voters and stewards, go for good, one after the other
+        for gone, heir in (("d0", "d3"), ("d1", "d4")):
+            pack.down.add(gone)
+            pack.kill(gone)
+            await pack.until(lambda gone=gone: pack.nodes["d2"].views.get(gone) == "dead")
+            self.assertEqual((await self.ask(pack, "d4", "/fleet/voters", {"remove": gone}))[0], 200)
+            self.assertEqual((await self.ask(pack, "d2", "/fleet/voters", {"add": heir}))[0], 200)
+        fleet = await pack.fleet("d3")
+        self.assertEqual((sorted(fleet["voters"]), fleet["voters_there"]), (["d2", "d3", "d4"], fleet["voters"]))
+        # their parts go to those that are there, once all that they may have lent has run out
+        await pack.until(lambda: any(x.fields.get("units") and x.node == "d2" and x.event == "fleet_share" and
+                                     len(x.fields["grants"].split(",")) == 3 and "d3:" in x.fields["grants"]
+                                     and "d4:" in x.fields["grants"] for x in pack.said[-300:]), 40)
+        # one that starts with the old file, whose first two voters are gone, finds those that decide now
+        pack.signal("d2", signal.SIGKILL)
+        await pack.until(lambda: len(pack.starts) == 6, 30)
+        self.assertEqual((await self.ask(pack, "d2", "/fleet/drain", {"worker": "s-00000001"}))[0], 200)
+        for call, body, status, says in (
+                ("/fleet/voters", {}, 400, "one of them"), ("/fleet/voters", {"add": "d9"}, 404, "no dispatcher"),
+                ("/fleet/voters", {"remove": "d0"}, 409, "d0 is no voter"),
+                ("/fleet/voters", {"add": "d3"}, 409, "d3 is a voter already"),
+                ("/fleet/stewards", {"replace": "d2"}, 400, "by"),
+                ("/fleet/stewards", {"replace": "d2", "by": "d0"}, 404, "no dispatcher"),
+                ("/fleet/stewards", {"replace": "d2", "by": "d3"}, 409, "steward already")):
+            with self.subTest(call=call, body=body):
+                got, text = await self.ask(pack, "d4", call, body)
+                self.assertEqual((got, text.count("\n")), (status, 1), text)
+                self.assertIn(says, text)
+        self.holds(pack, dispatchers=0)
+
     async def test_a_budget_of_none_and_a_drain_of_a_dispatcher(self):
         pack = await self.pack(rollout="dispatchers = 0\npools = {newer-box = 0}")
         for body in ({"member": "d1"}, {"worker": "s-00000001"}):
