--- a/millethead/members/swim.py
+++ b/millethead/members/swim.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from millethead.members.offices import Offices
 from millethead.members.share import Share, Steward
 
 
@@ -83,6 +84,7 @@
     sync_every: int = 20  # a full push-pull every so many periods
     seek_every: int = 4  # and one with a member believed dead, who may be behind a cut that has healed
     stewards: tuple[str, ...] = ()
+    office: float = math.inf  # s for which a steward lends once its office is confirmed; infinite: it keeps it for good
 
 
 @dataclass(slots=True)
@@ -122,15 +124,14 @@
         self.me, self.settings, self.incarnation, self.health = me, settings, int(me.start * 1000), 0
         self.peers: dict[str, Peer] = {}
         self.share = Share(settings.stewards, settings.lease, settings.window)
-        self.steward = Steward(len(settings.stewards), settings.lease, settings.window, now) \
-            if me.name in settings.stewards else None
+        self.offices = Offices(me.name, self.share, settings.window, settings.office, now)
         self.counts = {"probes": 0, "suspicions": 0, "refutations": 0, "deaths": 0, "false_deaths": 0}
         self._random, self._seq, self._order = random.Random(seed), 0, list[str]()
         self._probes: dict[int, Probe] = {}
         self._news: dict[str, tuple[Update, int]] = {}  # name -> (update, sends left)
         self._next, self._periods, self._now = now, 0, now
         self._ask_at, self._ticked, self._gone, self._began = now, now, False, now
-        self._urgent = False
+        self._urgent, self._ill = False, set[str]()  # (news to pass on at once, names of suspects)
         self.name_taken = False  # long after the start another process still speaks under this member's name
         for record in seeds:
             if record.name != me.name:
@@ -186,7 +187,7 @@
                 self.counts["deaths"] += 1
         if now >= self._next:
             out += self._period(now, stretch)
-        if now >= self._ask_at and self.settings.stewards:
+        if now >= self._ask_at and self.share.stewards:
             self._ask_at = now + self.settings.lease / 4
             out += self._ask(now)
         if self._urgent:  # news of a member's state goes on at once, to a few; the probes carry it to the others
@@ -244,11 +245,15 @@
         out = [self._send(p, "sync", 1, updates=word) for p in self.peers.values() if p.state != State.LEFT]
         self.share.drop()
         self._seq += 1
-        for name in self.settings.stewards:
+        for name in self.share.stewards:
             if name in self.peers:
                 out.append(self._send(self.peers[name], "release", self._seq))
         return out
 
+    @property
+    def steward(self) -> Steward | None:
+        return self.offices.steward
+
     # --- messages
     def receive(self, now: float, message: Message) -> list[Out]:
         if self._gone:
@@ -259,7 +264,16 @@
         sender = self.peers.get(message.sender)
         if sender is None:
             return []
-        return (self._refuted(message.sender) if self.incarnation != before else []) + self._take(now, message, sender)
+        out = self._refuted(message.sender) if self.incarnation != before else []
+        return out + self._better(sender, message.updates) + self._take(now, message, sender)
+
+    def _better(self, sender: Peer, updates: tuple[Update, ...]) -> list[Out]:
+        """Of whom the sender thinks ill by older news than this member's: what it has missed, such as a refutation that
+        went out as a cut began."""
+        missed = tuple(Update(p.record, p.incarnation, State.ALIVE) for u in updates
+                       if u.state in (State.SUSPECT, State.DEAD) and (p := self.peers.get(u.record.name)) is not None
+                       and p.state == State.ALIVE and p.incarnation > u.incarnation)
+        return [self._send(sender, "sync", 1, updates=missed)] if missed else []
 
     def _refuted(self, told_by: str) -> list[Out]:
         """Say so at once, to whoever told it and to a few more: by the next probes alone it might come too late."""
@@ -315,7 +329,7 @@
     def _ask(self, now: float) -> list[Out]:
         """Ask each steward for the next lease; itself, if it is one, without a message."""
         out: list[Out] = []
-        for name in self.settings.stewards:
+        for name in self.share.stewards:
             self._seq += 1
             if name == self.me.name and self.steward is not None:
                 units = self.steward.ask(now, (name, self.me.start), self._seq, self.counted())
@@ -370,6 +384,10 @@
             peer.since, peer.suspectors = now, set()
             self._urgent = True
         peer.incarnation, peer.state = incarnation, state
+        if state == State.SUSPECT:
+            self._ill.add(peer.record.name)
+        else:
+            self._ill.discard(peer.record.name)
         if by:
             peer.suspectors.add(by)
         self._spread(Update(peer.record, incarnation, state, by))
@@ -390,8 +408,8 @@
         if peer is None:
             if update.state not in (State.ALIVE, State.SUSPECT) or not self._room():
                 return
-            self.peers[name] = Peer(update.record, update.incarnation, State(update.state), now, now)
-            self._spread(update)
+            peer = self.peers[name] = Peer(update.record, update.incarnation, State.ALIVE, now, now)
+            self._set(now, peer, update.incarnation, State(update.state), update.by)
             return
         newer = update.incarnation > peer.incarnation
         same = update.incarnation == peer.incarnation
@@ -442,6 +460,12 @@
             riding = []
             if peer.state != State.ALIVE:  # who is thought ill is told so first: it can refute at once
                 riding.append(Update(peer.record, peer.incarnation, peer.state))
+            # a suspicion rides on all that is sent while it lasts, for its few tellings as news may all have gone into
+            # a cut: who knows better says so (`_better`)
+            for ill in self._random.sample(sorted(self._ill), min(len(self._ill), self.settings.riders // 2)):
+                about = self.peers[ill]
+                by = self.me.name if self.me.name in about.suspectors else min(about.suspectors, default="")
+                riding.append(Update(about.record, about.incarnation, State.SUSPECT, by))
             for name, (update, left) in list(self._news.items())[:self.settings.riders - len(riding)]:
                 riding.append(update)
                 if left <= 1:
