--- a/benchmarks/rollout/handover.py
+++ b/benchmarks/rollout/handover.py
@@ -17,12 +17,11 @@
 import sys
 import tempfile
 import time
-from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from statistics import median
 from typing import Any
 
-from runs import PERIOD, trouble
+from runs import PERIOD, ended, trouble
 
 from millethead.lab.audit import done_twice, gone_at_once, most_out, most_shared, two_histories
 from millethead.lab.faults import Faults, Link
@@ -110,17 +109,8 @@
             await pack.close()
 
 
-def one(seed: int) -> dict[str, Any]:
-    return asyncio.run(play(seed))
-
-
 def main(runs: int, side_by_side: int, first: int) -> None:
-    with ProcessPoolExecutor(side_by_side) as pool:
-        rows = list(pool.map(one, range(first, first + runs)))
-    for row in rows:
-        if row["why"]:
-            print("not ended:", row)
-    rows = [row for row in rows if not row["why"]]
+    rows = ended(play, runs, side_by_side, first)
 
     def total(key: str) -> int:
         return sum(row[key] for row in rows)
--- a/benchmarks/rollout/runs.py
+++ b/benchmarks/rollout/runs.py
@@ -16,7 +16,9 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable, Coroutine
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 from statistics import median
 from typing import Any
@@ -28,6 +30,7 @@
 from millethead.lab.table import keep
 
 PERIOD = 0.2  # s
+Play = Callable[[int], Coroutine[Any, Any, dict[str, Any]]]  # one run by its seed
 ROLLOUT = "dispatchers = 1\npools = {newer-box = 1}\nback = 25000\nlease = 60000"
 
 
@@ -153,17 +156,22 @@
             await pack.close()
 
 
-def one(seed: int) -> dict[str, Any]:
+def one(play: Play, seed: int) -> dict[str, Any]:
     return asyncio.run(play(seed))
 
 
-def main(runs: int, side_by_side: int, first: int) -> None:
+def ended(play: Play, runs: int, side_by_side: int, first: int) -> list[dict[str, Any]]:
+    """What each run by its seed found; those that did not end are printed and left out."""
     with ProcessPoolExecutor(side_by_side) as pool:
-        rows = list(pool.map(one, range(first, first + runs)))
+        rows = list(pool.map(partial(one, play), range(first, first + runs)))
     for row in rows:
         if row["why"]:
             print("not ended:", row)
-    rows = [row for row in rows if not row["why"]]
+    return [row for row in rows if not row["why"]]
+
+
+def main(runs: int, side_by_side: int, first: int) -> None:
+    rows = ended(play, runs, side_by_side, first)
 
     def worst(key: str) -> Any:
         return max(row[key] for row in rows)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -124,6 +124,29 @@
         self.assertLessEqual(len(member.peers), 8)
 
 
+def disturb(world, what, pick):
+    """One step of a script, done to somebody that lives."""
+    names = sorted(n for n in world.members if n not in world.killed)
+    name = names[pick % len(names)]
+    if what == "cut":
+        world.faults.split(names[:pick % len(names)], names[pick % len(names):])
+    elif what == "one way":
+        world.faults.one_way(name, names[(pick + 1) % len(names)])
+    elif what == "heal":
+        world.faults.heal()
+    elif what == "kill" and len(names) > 1:
+        world.killed.add(name)
+    elif what == "pause":
+        world.paused.add(name)
+    elif what == "join":
+        world.join(f"n{len(world.members)}", name)
+    elif what == "back" and world.killed:
+        world.join(sorted(world.killed)[pick % len(world.killed)], name)
+    elif what == "leave" and len(names) > 1:
+        world.leave(name)
+        world.killed.add(name)
+
+
 class Shares(unittest.TestCase):
     def test_a_minority_goes_on_with_less_and_never_grows(self):
         world = World(5)
@@ -165,25 +188,7 @@
         world = World(5, seed, link=Link(loss=loss, twice=loss, delay=0.0, jitter=0.3))
         world.run(1)
         for what, pick, seconds in script:
-            names = sorted(n for n in world.members if n not in world.killed)
-            name = names[pick % len(names)]
-            if what == "cut":
-                world.faults.split(names[:pick % len(names)], names[pick % len(names):])
-            elif what == "one way":
-                world.faults.one_way(name, names[(pick + 1) % len(names)])
-            elif what == "heal":
-                world.faults.heal()
-            elif what == "kill" and len(names) > 1:
-                world.killed.add(name)
-            elif what == "pause":
-                world.paused.add(name)
-            elif what == "join":
-                world.join(f"n{len(world.members)}", name)
-            elif what == "back" and world.killed:
-                world.join(sorted(world.killed)[pick % len(world.killed)], name)
-            elif what == "leave" and len(names) > 1:
-                world.leave(name)
-                world.killed.add(name)
+            disturb(world, what, pick)
             world.run(seconds)
             world.paused.clear()
         world.run(2)
@@ -264,7 +269,6 @@
         world.run(4)
         for what, pick, seconds in script:
             names = sorted(n for n in world.members if n not in world.killed)
-            name = names[pick % len(names)]
             holders = [o.name for o in world.agreed]
             if what == "give":
                 world.give(holders[pick % 3], [n for n in sorted(world.members) if n not in holders][pick % 2])
@@ -272,16 +276,8 @@
                 world.mute = {n for i, n in enumerate(names) if pick >> i & 1}
             elif what == "hear":
                 world.mute.clear()
-            elif what == "cut":
-                world.faults.split(names[:pick % len(names)], names[pick % len(names):])
-            elif what == "heal":
-                world.faults.heal()
-            elif what == "kill" and len(names) > 1:
-                world.killed.add(name)
-            elif what == "pause":
-                world.paused.add(name)
-            elif what == "back" and world.killed:
-                world.join(sorted(world.killed)[pick % len(world.killed)], name)
+            else:
+                disturb(world, what, pick)
             world.run(seconds)
             world.paused.clear()
         world.run(2)
