rollout: a refusal before anything was agreed leaves voters and stewards as the file has them

Seen on reading: a refused change confirms the value it rests on, and where nothing had been agreed that is an empty one. A dispatcher that learned it had a state without stewards, at revision 0, and a later one of revision 0 changed nothing: as a steward it found its office nowhere and lent nothing until the first real change.

Change: what is learned is completed from the file in `_learn`, as it was in a change already. A small test fails without.

--- a/millethead/rollout/shell.py
+++ b/millethead/rollout/shell.py
@@ -278,6 +278,7 @@
 
     def _learn(self, state: State) -> None:
         """What is agreed now; older news changes nothing."""
+        state = self._begun(state)  # a refusal may be all that was agreed: it confirms an empty value
         if self.learned and state.rev <= self.state.rev:
             return
         old, self.state, self.learned = self.state, state, True
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -15,14 +15,18 @@
 
 from millethead.config import ConfigError
 from millethead.members.offices import Office
+from millethead.members.setup import MembersSetup
+from millethead.members.shell import Members
 from millethead.operators import load_operator
 from millethead.rollout import state as agreed
 from millethead.rollout.driver import Driver, View
 from millethead.rollout.health import Counts, add, judge, since
 from millethead.rollout.register import Acceptor, Kept, Refused, Round, Word
-from millethead.rollout.setup import most_out
+from millethead.rollout.setup import RolloutSetup, most_out
+from millethead.rollout.shell import Rollout
 from millethead.rollout.state import DISPATCHERS, DONE, HALTED, RUNNING, UNDOING, UNDONE, Health, Release, State
 from millethead.rollout.store import PLACE, Store
+from millethead.tables import Local
 
 EXAMPLES = int(os.environ.get("ROLLOUT_EXAMPLES", "60"))
 VOTERS = ("v0", "v1", "v2")
@@ -493,6 +497,20 @@
         one.take("v3", Word("accepted", (9, "d9")))
         self.assertTrue(one.agreed)
 
+    def test_a_refusal_before_anything_was_agreed_leaves_voters_and_stewards_as_the_file_has_them(self):
+        """It confirmed an empty value, and a steward that learned this found its office nowhere, and lent nothing."""
+        with tempfile.TemporaryDirectory() as folder:
+            key = Path(folder, "key")
+            key.write_bytes(b"k" * 16)
+            members = Members(MembersSetup(listen=Local(("127.0.0.1", 1)), key_file=str(key), stewards=["d0", "d1"]),
+                              "d0", "", 1, print, office=60.0)
+            rollout = Rollout(RolloutSetup(folder=folder, voters=["d0", "d1", "d2"]), members, mock.Mock(), [], [])
+            rollout._learn(State())
+            self.assertEqual((rollout.state.voters, rollout.state.offices),
+                             (("d0", "d1", "d2"), (Office("d0"), Office("d1"))))
+            members.swim.offices.confirm(5.0, rollout.state.offices)
+            self.assertEqual(members.swim.steward.closes, 65.0)
+
     def test_a_state_of_the_version_before_has_no_voters_and_can_be_read(self):
         self.assertEqual(agreed.read(b"\x95\x01\x07\x02\x90\xc0"), State(rev=7, tokens=2))
 
