Read again: suspects are derived, one word for who is there, the door counts promises once

The set of suspects beside the members' states is gone: one look at the states serves the four places that want it. `Swim.there` replaces four ways to put oneself to the others. Promises are counted by tenant where they are given and judged; the door took the difference of a total before. Benchmarks: one `post`, one `calm`, one set of settings for both.

Behaviour and assertions as before.

--- a/benchmarks/door/flood.py
+++ b/benchmarks/door/flood.py
@@ -36,6 +36,8 @@
 
 CLASS = api.JobClass(deadline=15_000, aim=600, stretch=2.0, worth=10.0, effect=api.Effect.SAFE)
 TENANTS = (api.Tenant(8.0, 1.0, "a"), api.Tenant(8.0, 1.0, "b"))
+SETTINGS = api.Settings(classes=(CLASS,), tenants=TENANTS, may_probe=True, may_cancel=True, max_attempts=5,
+                        reports_in_answers=True, reports_in_probes=True, tick=5.0)
 SCENES = ("quiet", "flood", "greedy", "flood dark")
 WORK, MACHINES = 1000.0, 16
 SHARE = MACHINES * 2 * 1000 / WORK / 2  # jobs a second: a tenant's half of the fleet
@@ -44,9 +46,7 @@
 def run(scene: str, with_door: bool, seed: int, seconds: float) -> dict[str, Any]:
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     clock, rng = VirtualClock(), np.random.default_rng(seed)
-    settings = api.Settings(classes=(CLASS,), tenants=TENANTS, may_probe=True, may_cancel=True, max_attempts=5,
-                            reports_in_answers=True, reports_in_probes=True, tick=5.0)
-    exchange = Exchange(settings, seed, clock)
+    exchange = Exchange(SETTINGS, seed, clock)
     door = Door(exchange, DoorSetup(), clock, seed) if with_door else None
     stage: Stage = door if door is not None else exchange
     fleet = Fleet(exchange, clock, [WORK], seed, machines=MACHINES)
--- a/benchmarks/door/identities.py
+++ b/benchmarks/door/identities.py
@@ -26,9 +26,8 @@
 import numpy as np
 import structlog
 from docopt import docopt
-from flood import CLASS, MACHINES, SHARE, TENANTS, WORK
+from flood import CLASS, MACHINES, SETTINGS, SHARE, WORK
 
-from millethead.decide import interface as api
 from millethead.door.door import Door
 from millethead.door.setup import DoorSetup
 from millethead.exchange import Answer, Exchange, Final, Order
@@ -43,9 +42,7 @@
 def run(names: int, seconds: float, traced: bool) -> dict[str, float]:
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     clock, rng = VirtualClock(), np.random.default_rng(1)
-    settings = api.Settings(classes=(CLASS,), tenants=TENANTS, may_probe=True, may_cancel=True, max_attempts=5,
-                            reports_in_answers=True, reports_in_probes=True, tick=5.0)
-    exchange = Exchange(settings, 1, clock)
+    exchange = Exchange(SETTINGS, 1, clock)
     door = Door(exchange, DoorSetup(), clock, 1)
     Fleet(exchange, clock, [WORK], 1, machines=MACHINES)
     served, asked, took, numbers = {"a": 0, "b": 0}, {"a": 0, "b": 0}, list[float](), 0
--- a/benchmarks/rollout/handover.py
+++ b/benchmarks/rollout/handover.py
@@ -13,7 +13,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 import tempfile
 import time
@@ -21,10 +20,10 @@
 from statistics import median
 from typing import Any
 
-from runs import PERIOD, ended, trouble
+from runs import PERIOD, calm, ended, post, trouble
 
 from millethead.lab.audit import done_twice, gone_at_once, most_out, most_shared, two_histories
-from millethead.lab.faults import Faults, Link
+from millethead.lab.faults import Faults
 from millethead.lab.hour import SETTINGS
 from millethead.lab.staffed import Staffed
 from millethead.lab.table import keep
@@ -45,19 +44,6 @@
         done += [path] if status == 200 else []
 
 
-async def agreed(pack: Staffed, path: str, body: Any, names: list[str]) -> None:
-    """Have a call agreed at whichever of these answers; 409 says that it is so already."""
-    until = time.monotonic() + 60
-    text = ""
-    while time.monotonic() < until:
-        for name in names:
-            status, text = await pack.call(name, "POST", path, body)
-            if status == 200 or (status == 409 and ("is a voter already" in text or "is no voter" in text)):
-                return
-        await asyncio.sleep(0.2)
-    raise AssertionError(f"seed {pack.faults.seed}: {path} {body} was not agreed: {text}")
-
-
 async def play(seed: int) -> dict[str, Any]:
     rng, faults, changes = random.Random(seed), list[str](), list[str]()
     with tempfile.TemporaryDirectory() as folder:
@@ -71,14 +57,10 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            pack.faults.heal()
-            pack.faults.link = Link()
-            for name in pack.nodes:
-                pack.signal(name, signal.SIGCONT)
-            await pack.together(60)
+            await calm(pack)
             names = list(pack.nodes)
             for name in names:  # all vote, so that two may go
-                await agreed(pack, "/fleet/voters", {"add": name}, names)
+                await post(pack, "/fleet/voters", {"add": name}, "is a voter already")
             fleet = await pack.fleet(names[0])
             stewards = [s["member"] for s in fleet["stewards"]]
             gone = stewards[:2]
@@ -88,7 +70,7 @@
                 pack.kill(name)
             began = time.monotonic()
             for name in gone:
-                await agreed(pack, "/fleet/voters", {"remove": name}, left)
+                await post(pack, "/fleet/voters", {"remove": name}, "is no voter")
             voted = time.monotonic() - began
 
             def lent() -> float:
--- a/benchmarks/rollout/runs.py
+++ b/benchmarks/rollout/runs.py
@@ -70,16 +70,26 @@
                 await pack.call(names[0], "POST", "/fleet/undo", {"worker": f"s-{n:08x}"})
 
 
-async def post(pack: Staffed, path: str, body: Any, yes: str) -> None:
-    """Have a call agreed, at whichever dispatcher answers; one that a fault ate is put again."""
-    until = time.monotonic() + 60
+async def calm(pack: Staffed) -> None:
+    """No fault any more, and all see each other."""
+    pack.faults.heal()
+    pack.faults.link = Link()
+    for name in pack.nodes:
+        pack.signal(name, signal.SIGCONT)
+    await pack.together(60)
+
+
+async def post(pack: Staffed, path: str, body: Any, *yes: str) -> None:
+    """Have a call agreed, at whichever dispatcher answers; one that a fault ate is put again, and a no with one of
+    `yes` says that it is so already."""
+    until, text = time.monotonic() + 60, ""
     while time.monotonic() < until:
         for name in pack.nodes:
             status, text = await pack.call(name, "POST", path, body)
-            if status == 200 or (status == 409 and yes in text):
+            if status == 200 or (status == 409 and any(so in text for so in yes)):
                 return
         await asyncio.sleep(0.2)
-    raise AssertionError(f"seed {pack.faults.seed}: {path} was not agreed: {text}")
+    raise AssertionError(f"seed {pack.faults.seed}: {path} {body} was not agreed: {text}")
 
 
 async def ends(pack: Staffed, wanted: tuple[str, ...], seconds: float) -> str:
@@ -117,11 +127,7 @@
             finally:
                 faults.cancel()
                 await asyncio.gather(faults, return_exceptions=True)
-            pack.faults.heal()
-            pack.faults.link = Link()
-            for name in pack.nodes:
-                pack.signal(name, signal.SIGCONT)
-            await pack.together(60)
+            await calm(pack)
             lost_in_faults = pack.total(-1, -2) - quiet
             # a bad version with nothing else wrong: how soon it is halted, and undone
             pack.bad.add("3")
--- a/millethead/door/door.py
+++ b/millethead/door/door.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from functools import partial
-from itertools import repeat
 from math import inf
 
 import structlog
@@ -60,7 +60,7 @@
         settings = inner.settings
         count = max(1, len(settings.tenants))
         self.tenants = [*tenants[:count], *(str(n) for n in range(len(tenants), count))]
-        self.tally = {what: [0] * count for what in FIGURES}
+        self.tally: Counter[tuple[str, int]] = Counter()  # (what of FIGURES, tenant), but what `promises` counts
         self.means = [c.deadline / 10 for c in settings.classes]  # ms of work by class, learned
         self.queue = FairQueue(_weights(settings), setup.lanes, partial(_hashed, seed & 0xFFFFFFFFFFFFFFFF))
         self.window = Window(setup.window_least, setup.window_most, setup.target_ms)
@@ -112,14 +112,14 @@
 
     def figures(self) -> list[More]:
         """For the staff's page."""
-        why = self.window.why
+        counts = self.tally + self.promises.by_tenant
         return [
-            *((f"door_{name}_total", "counter", text, list(zip(repeat("tenant"), self.tenants, self.tally[name],
-                                                               strict=False)))
+            *((f"door_{name}_total", "counter", text,
+               [("tenant", tenant, counts[name, n]) for n, tenant in enumerate(self.tenants)])
               for name, text in FIGURES.items()),
             ("door_queued", "gauge", "Jobs that stand at the door.", [("", "", len(self.queue))]),
             ("door_window", "gauge", "Jobs that may wait for a worker inside, and why so many.",
-             [("why", why, self.window.room)]),
+             [("why", self.window.why, self.window.room)]),
             ("door_drain", "gauge", "Work done, in ms a ms.", [("", "", round(self.drain.rate, 3))])]
 
     # ---- events --------------------------------------------------------------------------------------
@@ -136,7 +136,7 @@
         tenant = order.tenant if order.tenant < max(1, len(self.settings.tenants)) else 0
         cost = order.expected_work or self.means[order.job_class]
         self._numbers += 1
-        self.tally["offered"][tenant] += 1
+        self.tally["offered", tenant] += 1
         guest = Guest(self._numbers, order, reply, Item(tenant, client, cost, None, now), now + order.left)
         guest.item.what = guest
         guest.called = self.promises.call_in(now, tenant, client)
@@ -149,9 +149,9 @@
         full = len(self.queue) >= self.setup.jobs or self._bytes + len(order.body) > self.setup.bytes
         if full or (not guest.called and ahead > self.setup.wait_ms * self.drain.rate):
             if guest.called:
-                self._kept(guest, False, "full")
+                self.promises.kept(guest.item.tenant, False, "full")
             pause = self._promise(guest, ahead)
-            self.tally["turned_away"][tenant] += 1
+            self.tally["turned_away", tenant] += 1
             sparing_log.warning("door_turned_away", job=order.id, tenant=tenant, full=full,
                                 back_in_ms=round(pause))
             reply(Answer(Final.REFUSED, pause=pause))
@@ -218,7 +218,7 @@
     def _let_in(self, guest: Guest) -> None:
         now, order = self.clock.now(), guest.order
         guest.let_in = now
-        self.tally["let_in"][guest.item.tenant] += 1
+        self.tally["let_in", guest.item.tenant] += 1
         if now > guest.item.came:
             order = replace(order, left=max(1.0, guest.end - now))
         number = self.inner.arrive(order, partial(self._answered, guest))
@@ -238,7 +238,7 @@
                 mean = self.means[guest.order.job_class]
                 self.means[guest.order.job_class] = mean + 0.03 * (min(now - guest.let_in, 5 * mean) - mean)
         if guest.called:
-            self._kept(guest, answer.final is not Final.REFUSED, "refused_inside")
+            self.promises.kept(guest.item.tenant, answer.final is not Final.REFUSED, "refused_inside")
         if answer.final is Final.REFUSED and not answer.pause and not self._leaving:
             answer = replace(answer, pause=self._promise(guest, self.queue.cost))
         if guest.reply is not None:
@@ -276,15 +276,9 @@
     def _promise(self, guest: Guest, ahead: float) -> float:
         """When its client may come back, in ms."""
         item = guest.item
-        share, given = self.queue.share(item.tenant), self.promises.counts["given"]
-        pause = self.promises.give(self.clock.now(), item.tenant, item.client, item.cost, ahead * share,
-                                   self.drain.rate * share)
-        self.tally["promised"][item.tenant] += self.promises.counts["given"] - given
-        return pause
-
-    def _kept(self, guest: Guest, well: bool, cause: str) -> None:
-        self.promises.kept(well, cause)
-        self.tally["kept" if well else "broken"][guest.item.tenant] += 1
+        share = self.queue.share(item.tenant)
+        return self.promises.give(self.clock.now(), item.tenant, item.client, item.cost, ahead * share,
+                                  self.drain.rate * share)
 
     def _leaves(self, guest: Guest) -> None:
         self.queue.drop(guest.item)
@@ -296,9 +290,9 @@
         self._guests.pop(guest.number, None)
         reply, guest.reply = guest.reply, None
         if guest.called and answer is not None:
-            self._kept(guest, False, "stopping" if self._leaving else "too_late")
+            self.promises.kept(guest.item.tenant, False, "stopping" if self._leaving else "too_late")
         order, now = guest.order, self.clock.now()
-        self.tally["turned_away"][guest.item.tenant] += answer is not None
+        self.tally["turned_away", guest.item.tenant] += answer is not None
         self._records.put((order.origin, order.id), ended_unsent(answer, guest.item.came, now), now)
         if answer is not None and reply is not None:
             reply(answer)
--- a/millethead/door/promises.py
+++ b/millethead/door/promises.py
@@ -53,6 +53,7 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self.counts: Counter[str] = Counter()
+        self.by_tenant: Counter[tuple[str, int]] = Counter()  # (promised, kept or broken; tenant)
         self._by_client: dict[tuple[int, str], deque[Promise]] = {}
         self._given: deque[tuple[tuple[int, str], Promise]] = deque()  # in the order given
         self._out = 0
@@ -90,6 +91,7 @@
         while self._out > self.most or len(self._given) > 2 * self.most:
             self._end(*self._given.popleft(), "forgotten")
         self.counts["given" if promise.sure else "unsure"] += 1
+        self.by_tenant["promised", tenant] += promise.sure
         return promise.at - now
 
     def _open(self, tenant: int, number: int) -> int:
@@ -121,9 +123,10 @@
             self._out -= 1
             self.counts[how] += 1
 
-    def kept(self, well: bool, cause: str = "") -> None:
+    def kept(self, tenant: int, well: bool, cause: str = "") -> None:
         """How one that was called in went."""
         self.counts["kept" if well else f"broken_{cause}"] += 1
+        self.by_tenant["kept" if well else "broken", tenant] += 1
 
     def _forget(self, now: float) -> None:
         present = floor(now / SLOT)
--- a/millethead/members/shell.py
+++ b/millethead/members/shell.py
@@ -171,7 +171,7 @@
             return
         self._held = held
         grants = ",".join(f"{name}:{g.units}:{g.until:.4f}" for name, g in fresh.items())
-        names = sorted([self.me.name, *swim.alive()])
+        names = swim.there()
         self.on_share(units / UNITS, swim.share.until(now), fleet, names.index(self.me.name) % fleet)
         if (units, fleet) != self._said:
             self._said = units, fleet
--- a/millethead/members/swim.py
+++ b/millethead/members/swim.py
@@ -131,7 +131,7 @@
         self._news: dict[str, tuple[Update, int]] = {}  # name -> (update, sends left)
         self._next, self._periods, self._now = now, 0, now
         self._ask_at, self._ticked, self._gone, self._began = now, now, False, now
-        self._urgent, self._ill = False, set[str]()  # (news to pass on at once, names of suspects)
+        self._urgent = False
         self.name_taken = False  # long after the start another process still speaks under this member's name
         for record in seeds:
             if record.name != me.name:
@@ -142,6 +142,13 @@
     def alive(self) -> list[str]:
         return sorted(n for n, p in self.peers.items() if p.there)
 
+    def there(self) -> list[str]:
+        """Those that are, this member included."""
+        return sorted([self.me.name, *self.alive()])
+
+    def _suspects(self) -> list[Peer]:
+        return [p for p in self.peers.values() if p.state == State.SUSPECT]
+
     def counted(self) -> int:
         """Members counted for shares: itself and each alive or suspect."""
         return 1 + sum(p.there for p in self.peers.values())
@@ -178,8 +185,8 @@
                 peer = self.peers.get(probe.target)
                 if peer is not None and peer.there:
                     self._suspect(now, peer, self.me.name)
-        for peer in self.peers.values():
-            if peer.state == State.SUSPECT and now - peer.since > self._suspicion(len(peer.suspectors)):
+        for peer in self._suspects():
+            if now - peer.since > self._suspicion(len(peer.suspectors)):
                 if peer.heard > peer.since:  # it spoke meanwhile: its refutation was lost, or is on its way
                     peer.since = now
                     continue
@@ -208,7 +215,7 @@
             out.append(self._send(target, "ping", self._seq))
             if self._periods % self.settings.sync_every == 0:
                 out += self._full(target.record.address, 0)
-        for peer in [p for p in self.peers.values() if p.state == State.SUSPECT][:self.settings.riders]:
+        for peer in self._suspects()[:self.settings.riders]:
             out.append(self._send(peer, "sync", 1))  # who is suspected hears of it while there is time to refute
         if self._periods % self.settings.seek_every == 0:
             dead = [p for p in self.peers.values() if p.state == State.DEAD]
@@ -220,8 +227,8 @@
         """This process stood still: what went unanswered meanwhile is its own fault, not the others'."""
         self._probes.clear()
         self._feel(2)
-        for peer in self.peers.values():
-            peer.since += gap if peer.state == State.SUSPECT else 0.0
+        for peer in self._suspects():
+            peer.since += gap
 
     def _feel(self, worse: int) -> None:
         self.health = min(max(self.health + worse, 0), self.settings.health_most)
@@ -384,10 +391,6 @@
             peer.since, peer.suspectors = now, set()
             self._urgent = True
         peer.incarnation, peer.state = incarnation, state
-        if state == State.SUSPECT:
-            self._ill.add(peer.record.name)
-        else:
-            self._ill.discard(peer.record.name)
         if by:
             peer.suspectors.add(by)
         self._spread(Update(peer.record, incarnation, state, by))
@@ -462,8 +465,8 @@
                 riding.append(Update(peer.record, peer.incarnation, peer.state))
             # a suspicion rides on all that is sent while it lasts, for its few tellings as news may all have gone into
             # a cut: who knows better says so (`_better`)
-            for ill in self._random.sample(sorted(self._ill), min(len(self._ill), self.settings.riders // 2)):
-                about = self.peers[ill]
+            ill = sorted(self._suspects(), key=lambda p: p.record.name)
+            for about in self._random.sample(ill, min(len(ill), self.settings.riders // 2)):
                 by = self.me.name if self.me.name in about.suspectors else min(about.suspectors, default="")
                 riding.append(Update(about.record, about.incarnation, State.SUSPECT, by))
             for name, (update, left) in list(self._news.items())[:self.settings.riders - len(riding)]:
--- a/millethead/rollout/calls.py
+++ b/millethead/rollout/calls.py
@@ -189,8 +189,8 @@
 
     def _dispatchers(self) -> dict[str, float]:
         """The dispatchers that are there, and the start of each."""
-        views, members = self.rollout.views(), self.rollout.members
-        return {name: views[name].start for name in (members.me.name, *members.swim.alive())}
+        views = self.rollout.views()
+        return {name: views[name].start for name in self.rollout.members.swim.there()}
 
 
 def _no(status: int, why: str) -> Reply:
--- a/millethead/rollout/shell.py
+++ b/millethead/rollout/shell.py
@@ -325,7 +325,7 @@
             self._asked = now
             for name in self.members.swim.alive():
                 self._tell(name, Note("health", 0, self.me))
-        changes = self.driver.offices(now, self.state, {self.me, *self.members.swim.alive()})
+        changes = self.driver.offices(now, self.state, self.members.swim.there())
         if self.state.slots or release is not None:
             self._probe_out()
             changes += self.driver.tick(now, self.state, self.views(), self.most, self.unhealthy)
@@ -343,7 +343,7 @@
         return self.me == min(self._voters_there(), default="")
 
     def _voters_there(self) -> list[str]:
-        there = {self.me, *self.members.swim.alive()}
+        there = self.members.swim.there()
         return [v for v in self.voters if v in there]
 
     async def _go(self) -> None:
