--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -407,7 +407,8 @@
         job.tries += 1
         if self._cold(w):
             w.turn = self._turn(w, now) + ceil(self._cost(job) / self.work) - 1
-        out.append(api.Send(job.id, w.id))
+        cls = self.set.classes[job.cls]  # a repeat has to begin while the first is remembered
+        out.append(api.Send(job.id, w.id, within=job.ran + cls.window - now if cls.effect is Effect.KEYED else inf))
         if w.confirms and self.set.parallel_attempts:
             out.append(api.SetTimer(job.id << 3 | TAKING, TAKE))
 
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -299,11 +299,13 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start the job's next attempt; attempts count from 0 in the order sent. No `timeout`: until `left`."""
+    """Start the job's next attempt; attempts count from 0 in the order sent. No `timeout`: until `left`. It has to
+    begin at the worker within `within` ms, or else not at all."""
 
     job: int
     worker: int
     timeout: float = 0.0
+    within: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/millethead/exchange/carry.py
+++ b/millethead/exchange/carry.py
@@ -67,8 +67,8 @@
     held = _Held(number, order, reply, end, record.came, record)
     for n, (name, sent, until, earlier, whole, outcome) in enumerate(said["attempts"]):
         worker = exchange.worker(name) or Worker(crc32(name.encode()), Listed(name, state=WorkerState.GONE), side)
-        attempt = Attempt(order, number, n, worker, sent, until, earlier, whole,
-                          None if outcome is None else Outcome(outcome))
+        attempt = Attempt(order, number, n, worker, sent, until, earlier, whole=whole,
+                          outcome=None if outcome is None else Outcome(outcome))
         held.attempts.append(attempt)
         if outcome is None:
             held.out += 1
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -146,6 +146,9 @@
         if held is not None and not held.closed:
             log.info("job_withdrawn", job=held.order.id)
             self._close(held, None)
+            for attempt in held.attempts:
+                if not attempt.whole:  # nothing has begun: to drop it needs nobody's leave
+                    self._give_up(attempt, api.Outcome.NEVER_SENT)
             self._feed(api.JobWithdrawn(number))
             self._forget(held)
 
@@ -371,7 +374,7 @@
             log.error("send_to_unknown_worker", job=held.order.id, worker=action.worker)
             worker = Worker(action.worker, Listed("unknown"), _Nowhere())
         attempt = Attempt(held.order, held.number, len(held.attempts), worker, now, end,
-                          any(a.worker.name == worker.name for a in held.attempts))
+                          any(a.worker.name == worker.name for a in held.attempts), now + action.within)
         held.attempts.append(attempt)
         held.out += 1
         held.record.attempts += 1
--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -115,7 +115,8 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One sending of a job to a worker. `whole`: its last byte was written, so it may have run."""
+    """One sending of a job to a worker, which ends at `end` at the latest. `begin_by`: after that its last byte is not
+    written any more. `whole`: it was written, so the job may have run."""
 
     order: Order
     job: int
@@ -124,6 +125,7 @@
     sent: float
     end: float
     earlier_here: bool = False
+    begin_by: float = float("inf")
     whole: bool = False
     outcome: Outcome | None = None
     timer: Cancellable | None = None
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -17,10 +17,10 @@
 from millethead.net.probes import Probes
 
 log = structlog.get_logger()
-HOLD = 0.004  # s that the last byte of a job waits
-DELETE_TIME = 2.0  # s
-DELETES = 64  # at once; more are dropped, since the worker's own limit ends the job as well
-TAKEN_LATE = 5.0  # s for an answer that no attempt waits for any more
+LAST_BYTE_PAUSE = 0.004  # s that the last byte of a job waits
+CANCEL_TIME = 2.0  # s
+CANCELS = 64  # at once; more are dropped, since the worker's own limit ends the job as well
+ANSWER_LATE = 1.0  # s for the rest of an answer that no attempt waits for any more
 
 
 class HttpWorkers:
@@ -30,7 +30,7 @@
                  report: Callable[[str], Report | None]) -> None:
         self.exchange, self.pool, self.probes, self.report = exchange, pool, probes, report
         self._running: dict[tuple[str, str], Attempt] = {}
-        self._deletes = 0
+        self._cancels: dict[tuple[str, str], asyncio.Future[None]] = {}  # under way, by job's id and worker
 
     # ---- what the exchange asks ----------------------------------------------------------------------
 
@@ -45,10 +45,13 @@
 
     def give_up(self, attempt: Attempt) -> None:
         self._done(attempt)
-        if isinstance(attempt.channel, Connection):  # before the 202, closing says it
-            attempt.channel.close()
-        elif attempt.whole and attempt.worker.address is not None:
-            IOLoop.current().spawn_callback(self._delete, attempt)
+        conn, said = attempt.channel, False
+        if isinstance(conn, Connection):  # before the 202, closing says it
+            said = conn.quiet()
+            conn.close()
+        # a 202 that crossed the close may lie unread: the worker goes on, unless it is told
+        if attempt.whole and not said and attempt.worker.address is not None:
+            IOLoop.current().spawn_callback(self._cancel, attempt)
 
     def movable(self, attempt: Attempt) -> bool:
         """Whether only news can end it, wherever that comes in: the worker has said 202."""
@@ -91,34 +94,37 @@
         except ConnectFailed:
             self._end(attempt, Outcome.CONNECT_FAILED)
             return
-        if attempt.outcome is not None or not attempt.worker.wanted:
-            # it was given up, or the worker began to drain or was taken out, while the connection came up
-            self.pool.give_back(address, conn)
-            self._end(attempt, Outcome.NEVER_SENT)
-            return
         attempt.channel = conn
         try:
-            left = attempt.end - self.exchange.clock.now()
-            message = format_attempt(attempt, left)
+            # the cancel of an earlier attempt names the same id, and must not come after this one
+            cancel = self._cancels.get((attempt.order.id, attempt.worker.name))
+            if cancel is not None:
+                await within(self._left(attempt), asyncio.shield(cancel))
+            if not self._may_go(attempt):
+                attempt.channel = None
+                self.pool.give_back(address, conn)
+                self._end(attempt, Outcome.NEVER_SENT)
+                return
+            message = format_attempt(attempt, self._left(attempt))
             # a worker begins with the last byte: held back for a moment, it shows a connection that is reset
             # as the job comes, which so never ran, and may go elsewhere even if it must not run twice
-            await within(left / 1000, conn.write(message[:-1]))
-            await asyncio.sleep(HOLD)
-            if not attempt.worker.wanted:  # it never had the last byte
+            await within(self._left(attempt), conn.write(message[:-1]))
+            await asyncio.sleep(LAST_BYTE_PAUSE)
+            if not self._may_go(attempt):  # it never had the last byte
                 conn.close()
                 self._end(attempt, Outcome.NEVER_SENT)
                 return
             if conn.broken():
                 raise Closed
-            await within(left / 1000, conn.write(message[-1:]))
+            last = conn.begin(message[-1:])  # from here to `written` nothing else has its turn
         except (Closed, Late):
             conn.close()
             self._end(attempt, Outcome.CONNECT_FAILED)  # broke before its last byte: never ran
             return
         self.exchange.written(attempt)
         try:
-            left = attempt.end - self.exchange.clock.now()
-            response = await within(left / 1000 + TAKEN_LATE, read_response(conn))
+            await within(self._left(attempt), last)  # where the system does not take it at once, it may go at any time
+            response = await within(self._left(attempt) + ANSWER_LATE, read_response(conn))
         except (Closed, Late, BadMessage, OverflowError):
             conn.close()
             attempt.channel = None
@@ -128,6 +134,16 @@
         self.pool.give_back(address, conn, response.keep)
         self._answered(attempt, response)
 
+    def _left(self, attempt: Attempt) -> float:
+        """s until nobody waits for the attempt any more."""
+        return (attempt.end - self.exchange.clock.now()) / 1000
+
+    def _may_go(self, attempt: Attempt) -> bool:
+        """Whether the job may still be sent on: nobody has given the attempt up, nor has earlier news ended it, its
+        worker takes new work, and a repeat is still dropped there if an earlier attempt has run."""
+        return (attempt.outcome is None and attempt.worker.wanted
+                and self.exchange.clock.now() < min(attempt.end, attempt.begin_by))
+
     def _answered(self, attempt: Attempt, response: Response) -> None:
         if response.status == 202:
             self.exchange.taken(attempt)  # the rest comes as news
@@ -156,8 +172,11 @@
     def news(self, job_id: str, worker: str, state: str, result: bytes, report: Report | None) -> bool:
         """What a worker tells of a job; False if no attempt waits for it (any more)."""
         attempt = self._running.get((job_id, worker))
-        if attempt is None or (not attempt.whole and state == "returned"):
-            return False
+        if attempt is None or (not attempt.whole and state != "done"):
+            return False  # of an earlier attempt there: this one has not begun
+        if state not in ("started", "running") and isinstance(conn := attempt.channel, Connection):
+            # it may never end its answer, and holds one of few connections as long as it is waited for
+            IOLoop.current().call_later(ANSWER_LATE, lambda: conn.close() if attempt.channel is conn else None)
         if state == "done":
             self._end(attempt, Outcome.OK, result, report)
         elif state == "failed":
@@ -170,28 +189,27 @@
             self._end(attempt, Outcome.RESET if attempt.earlier_here else Outcome.FULL, report=report)
         return True
 
-    async def _delete(self, attempt: Attempt) -> None:
-        address = attempt.worker.address
-        if address is None or self._deletes >= DELETES:
+    async def _cancel(self, attempt: Attempt) -> None:
+        address, name = attempt.worker.address, (attempt.order.id, attempt.worker.name)
+        if address is None or len(self._cancels) >= CANCELS or name in self._cancels:
             return
-        self._deletes += 1
+        told = self._cancels[name] = asyncio.get_running_loop().create_future()
         try:
+            # one that is sent there anew meanwhile waits for this: the id would name that one too
             conn = await self.pool.take(address)
-            if (attempt.order.id, attempt.worker.name) in self._running:
-                self.pool.give_back(address, conn)  # it is there anew, and the id would name that one
-                return
             try:
-                await within(DELETE_TIME, conn.write(
+                await within(CANCEL_TIME, conn.write(
                     f"DELETE /jobs/{attempt.order.id} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
                     "Content-Length: 0\r\n\r\n".encode("latin-1")))
-                response = await within(DELETE_TIME, read_response(conn))
+                response = await within(CANCEL_TIME, read_response(conn))
                 self.pool.give_back(address, conn, response.keep)
             except (Closed, Late, BadMessage, OverflowError):
                 conn.close()
         except ConnectFailed:
             log.info("cancel_not_told", job=attempt.order.id, worker=attempt.worker.name)
         finally:
-            self._deletes -= 1
+            del self._cancels[name]
+            told.set_result(None)
 
 
 def format_attempt(attempt: Attempt, left: float) -> bytes:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -56,7 +56,7 @@
                 assert self.set.may_probe and worker in self.entries
                 self.probes.append(worker)
             case api.Send(job=job, worker=worker):
-                self.check_send(self.jobs[job], worker)
+                self.check_send(self.jobs[job], worker, action.within)
                 self.jobs[job].tries.append(Try(worker, self.now))
                 self.sends.append((self.now, job, worker))
             case api.Refuse(job=job):
@@ -72,7 +72,7 @@
         entry = self.entries[worker]
         return {api.Group.ALL: 0, api.Group.ZONE: entry.zone, api.Group.CELL: entry.cell}[cls.group]
 
-    def check_send(self, asked: Asked, worker: int) -> None:
+    def check_send(self, asked: Asked, worker: int, within: float) -> None:
         cls = self.set.classes[asked.event.job_class]
         assert asked.answer is None, "sent after the final answer"
         assert worker in self.entries, "sent to a worker that no list named"
@@ -86,7 +86,7 @@
             assert not maybe, "an unsafe job may run twice"
         if cls.effect is api.Effect.KEYED and maybe:
             assert all(self.group(cls, t.worker) == self.group(cls, worker) for t in maybe), "left its group"
-            assert self.now <= maybe[0].sent + cls.window, "the group has forgotten the key"
+            assert self.now + within <= maybe[0].sent + cls.window, "it may begin when the group has forgotten the key"
 
     def check_refusal(self, asked: Asked) -> None:
         cls = self.set.classes[asked.event.job_class]
--- a/tests/play.py
+++ b/tests/play.py
@@ -30,7 +30,7 @@
 LONG = ("millethead.net.accept.FIRST_TIME", "millethead.net.accept.READ_TIME",
         "millethead.net.accept.ASKED_TIME",
         "millethead.fronts.faktory.session.FIRST_TIME", "millethead.fronts.faktory.session.READ_TIME",
-        "millethead.net.probes.PROBE_TIME", "millethead.net.send.DELETE_TIME",
+        "millethead.net.probes.PROBE_TIME", "millethead.net.send.CANCEL_TIME",
         "millethead.fronts.faktory.session.FETCH_TIME", "millethead.console.server.CALL_TIME")
 CLASSES: list[dict[str, Any]] = [
     {"name": "desk-search", "deadline": 7500.0, "goal_time": 30000.0, "effect": "retryable", "worth": 2.0},
--- a/tests/test_send.py
+++ b/tests/test_send.py
@@ -98,13 +98,6 @@
                     self.assertIs(await pool.take(ADDRESS, fresh=True), wants)
                 self.assertEqual(connect.call_count, 2)
 
-    async def test_a_cancel_is_not_told_of_an_id_that_is_at_the_worker_anew(self):
-        old = self.attempt(whole=True)
-        self.attempt()
-        self.pool.take = mock.AsyncMock()
-        await self.side._delete(old)
-        self.pool.take.return_value.write.assert_not_called()
-
     def test_two_jobs_of_one_id_are_never_at_one_worker_together(self):
         self.attempt()
         self.side.start(Attempt(Order("a1", 0, 5000.0), 2, 0, self.worker, 0.0, 5000.0))
