--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -213,9 +213,10 @@
 
 
 def format_attempt(attempt: Attempt, left: float) -> bytes:
+    """The request; `left`: s that its worker has."""
     order, address = attempt.order, attempt.worker.address or ("", 0)
     lines = [f"POST {order.target} HTTP/1.1", f"Host: {address[0]}:{address[1]}",
-             f"X-Request-ID: {order.id}", f"X-Timeout: {max(0.001, left / 1000):.3f}",
+             f"X-Request-ID: {order.id}", f"X-Timeout: {max(0.001, left):.3f}",
              f"Content-Length: {len(order.body)}"]
     if order.once_key:
         lines.append(f"Idempotency-Key: {order.once_key}")
--- a/tests/test_send_races.py
+++ b/tests/test_send_races.py
@@ -193,6 +193,14 @@
     assert (first.outcome, first.whole) == (api.Outcome.CONNECT_FAILED, False)
 
 
+async def test_a_worker_is_told_how_long_its_answer_is_waited_for(bench):
+    """In the wrong unit it was a thousandth of that, and workers that look at it turned the jobs away as too late."""
+    bench.job()
+    reader, _ = await bench.peer()
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE)
+    assert 40 < float(head.partition(b"X-Timeout: ")[2].partition(b"\r\n")[0]) <= 60
+
+
 async def test_a_reset_after_the_last_byte_proves_nothing(bench):
     bench.job(ONCE)
     _, writer = await bench.whole()
