--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -15,7 +15,16 @@
 
 from millethead.logs import Sparing
 from millethead.net.answer import format_answer, send_answer
-from millethead.net.connection import WRITE_BUFFER, Closed, Connection, Late, within
+from millethead.net.connection import (
+    LINGER,
+    LINGER_BYTES,
+    WRITE_BUFFER,
+    Closed,
+    Connection,
+    Interrupted,
+    Late,
+    within,
+)
 from millethead.net.parse import BadMessage, Request, parse_request, read_body, read_head
 from millethead.net.pool import READ_BUFFER
 
@@ -25,7 +34,6 @@
 READ_TIME = 2.5  # s for a later request from its first byte to its last
 IDLE_TIME = 120.0  # s between requests, on a connection that has brought a job
 ASKED_TIME = 10.0  # s on one that has asked for something else only
-LINGER, LINGER_BYTES = 1.0, 256 << 10  # s and bytes to let a peer read why it was turned away
 FAULTS = 16  # answers of 4xx or 5xx in a row after which a connection ends: a bad client asks again at once
 BACKLOG = 512  # connections in a listener's queue
 POLL = 0.01  # s
@@ -47,7 +55,10 @@
 
 
 class Server(TCPServer):
-    """Takes connections up to a limit, and ends each when `talk` returns."""
+    """Takes connections up to a limit, and ends each when `talk` returns.
+
+    A connection is FRESH, ASKED or USUAL while it may be closed to make room, none of them while somebody waits for an
+    answer on it, and LEAVING once its talk is over and only its peer's close is waited for."""
 
     def __init__(self, limit: int) -> None:
         super().__init__(max_buffer_size=READ_BUFFER)
@@ -64,7 +75,7 @@
             return
         if len(self.open) >= self.limit and not self.make_room():
             sparing_log.warning("connection_turned_away", server=type(self).__name__, open=len(self.open))
-            conn.close()
+            conn.end_now()
             return
         self.rest(conn, FRESH)
         await self.keep(conn, self.talk(conn))
@@ -74,14 +85,17 @@
         self.open.add(conn)
         try:
             await talk
-        except (Closed, Late, OSError):
+            if not conn.stream.closed():
+                self.rest(conn, LEAVING)
+                await conn.end()
+        except (Closed, Late, Interrupted, OSError):
             pass
         except Exception:
             log.exception("connection_broke", server=type(self).__name__)
         finally:
             self.open.discard(conn)
             self.idle.pop(conn, None)
-            conn.close()
+            conn.end_now()
 
     async def talk(self, conn: Connection) -> None:
         raise NotImplementedError
@@ -98,7 +112,6 @@
 
     def rest(self, conn: Connection, rank: int) -> None:
         """From now on `conn` may be closed to make room."""
-        conn.midway = False
         self.idle[conn] = rank, time.monotonic()
 
     def work(self, conn: Connection) -> None:
@@ -108,13 +121,17 @@
     def make_room(self) -> bool:
         """Close the connection that is missed least; False if there is none. Those that never brought a whole
         request go first: many that only connect must not push out usual clients (who keep theirs idle), nor
-        one whose request waits to be read."""
-        for conn in sorted(self.idle, key=self.idle.__getitem__):
+        one whose request waits to be read. Of usual ones, those that are in the middle of a request come last."""
+        def rank(conn: Connection) -> tuple[int, bool, float]:
+            who, since = self.idle[conn]
+            return who, conn.midway or bool(len(conn.buffer)), since
+
+        for conn in sorted(self.idle, key=rank):
             # a read that has ended, but whose reader has not run yet, leaves the socket empty as well
-            if self.idle[conn][0] == LEAVING or len(conn.buffer) or conn.unheard():
+            if self.idle[conn][0] == LEAVING or conn.wants_more():
                 del self.idle[conn]
                 self.open.discard(conn)
-                conn.close()
+                conn.end_now()
                 return True
         return False
 
@@ -133,10 +150,11 @@
         await asyncio.sleep(POLL)
         while self.open and time.monotonic() < until:
             await asyncio.sleep(POLL)
+        self.close_all()
 
     def close_all(self) -> None:
         for conn in list(self.open):
-            conn.close()
+            conn.end_now()
 
 
 class Acceptor(Server):
@@ -183,7 +201,7 @@
             await send_answer(conn, message)
             if not keep:
                 return
-            rank = USUAL if reply.job else max(rank, ASKED)
+            rank, conn.midway = USUAL if reply.job else max(rank, ASKED), False
             self.rest(conn, rank)
 
     async def _request(self, conn: Connection, rank: int, since: float) -> Request | None:
@@ -193,9 +211,17 @@
         try:
             if rank != FRESH:
                 if not len(conn.buffer):
-                    await within(IDLE_TIME if rank == USUAL else ASKED_TIME, conn.fill())
+                    if self.closing and conn.quiet():  # since its last answer went out
+                        return None
+                    try:
+                        await within(IDLE_TIME if rank == USUAL else ASKED_TIME, conn.fill())
+                    except (Late, Interrupted):
+                        if conn.unheard():  # else a request came in that very turn of the loop
+                            return None
                 since, limit = time.monotonic(), READ_TIME
             return await within(since + limit - time.monotonic(), self._read(conn))
+        except Interrupted:
+            pass
         except BadMessage as bad:
             await self._turn_away(conn, bad.status, str(bad))
         except OverflowError:
@@ -221,23 +247,13 @@
     async def _turn_away(self, conn: Connection, status: int, why: str, linger: float = LINGER) -> None:
         sparing_log.warning("request_turned_away", status=status, why=why)
         self.rest(conn, LEAVING)
-        # closing at once, with bytes unread, would reset the connection before the peer has read the answer;
-        # but one that sends on at full speed gets no more time than that
         await within(LINGER, conn.write(format_answer(status, why.encode() + b"\n", keep=False)))
-        try:
-            conn.stream.socket.shutdown(socket.SHUT_WR)
-            until, left = time.monotonic() + linger, LINGER_BYTES
-            while left > 0 and (seconds := until - time.monotonic()) > 0:
-                left -= len(conn.buffer.take(len(conn.buffer)))
-                await within(seconds, conn.fill())
-            conn.swallow(LINGER_BYTES)
-        except (Closed, Late, OSError):
-            pass
+        await conn.end(linger)
 
     def drain(self) -> None:
         """From now on connections end with their answer, and those that stand idle at once; but who has only just come
         is about to ask."""
         self.closing = True
         for conn, (rank, _) in list(self.idle.items()):
-            if rank != FRESH and conn.unheard():  # else a request of it waits to be read
-                conn.close()
+            if rank in (ASKED, USUAL) and not conn.midway and conn.unheard():  # else a request of it waits to be read
+                conn.interrupt()  # its reader looks once more, and ends it
--- a/millethead/net/exchange.py
+++ b/millethead/net/exchange.py
@@ -54,6 +54,8 @@
 
 async def exchange_job(stage: Stage, conn: Connection, order: Order) -> Answer | None:
     """Hand the job in and wait for its answer; None if the client left first. Raises Unusable."""
+    if conn.gone():  # its end came with the request, and no close callback would be called any more
+        return None
     future, settle = awaited()
     return await answer_of(stage, conn, stage.arrive(order, settle), future)
 
@@ -69,8 +71,10 @@
         _settle(future, None)
 
     conn.on_close(left)
+    conn.read_ahead(True)
     try:
         return await future
     finally:
         conn.job = 0
+        conn.read_ahead(False)
         conn.on_close(None)
--- a/millethead/succession/succession.py
+++ b/millethead/succession/succession.py
@@ -177,7 +177,9 @@
             return
         fields: dict[str, Any]
         if conn.job:
-            found = release(self.exchange, self.workers, conn.job) if self.movable and not len(conn.buffer) else None
+            # a read that has ended has bytes that are not in the buffer yet
+            may = self.movable and not len(conn.buffer) and conn.stream.reading()
+            found = release(self.exchange, self.workers, conn.job) if may else None
             if found is None:
                 return
             said, body = found
