--- a/millethead/config.py
+++ b/millethead/config.py
@@ -8,10 +8,13 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
 from millethead.decide.interface import Settings
 from millethead.decide.settings import SettingsError, settings_from
 
+NAMED = ("azs", "kinds", "classes", "tenants")  # what the settings name, and all else knows by its place there
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why in one line."""
@@ -40,6 +43,13 @@
     def names(self, key: str) -> list[str]:
         return [str(x["name"] if isinstance(x, dict) else x) for x in self.info.get(key) or ()]
 
+    @property
+    def whose(self) -> str:
+        """Which dispatcher's state this is. One of the same name and address, but with other classes, tenants, zones or
+        kinds, is another: jobs and workers are kept by their numbers."""
+        names = json.dumps([self.names(key) for key in NAMED])
+        return f"{self.name} at {self.listen[0]}:{self.listen[1]}, {crc32(names.encode()):08x}"
+
 
 def load_config(env: Mapping[str, str] = os.environ) -> Config:
     """The file that BALANCER_CONFIG names; the other variables stand in for what it leaves out."""
@@ -64,5 +74,5 @@
             discovery=parse_address(raw.get("discovery") or env.get("BALANCER_DISCOVERY"), "discovery"),
             seed=seed, sockets=sockets, known=raw.get("known"), info=info, settings=settings,
             console=parse_address(console, "console") if console else None)
-    except (SettingsError, ValueError, TypeError, AttributeError) as error:
+    except (SettingsError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -98,7 +98,7 @@
     name: str = ""
 
     def __post_init__(self) -> None:
-        _check("Tenant", reservation=self.reservation or 0.0, weight=self.weight)
+        _check("Tenant", reservation=0.0 if self.reservation is None else self.reservation, weight=self.weight)
         if self.weight == 0:
             raise ValueError("Tenant.weight must be more than 0")
 
@@ -148,8 +148,10 @@
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("Settings.classes must name at least one job class")
-        for name in ("nodes", "max_attempts"):
-            if getattr(self, name) < 1:
+        for name in ("zone", "node", "nodes", "max_attempts"):
+            if not float(getattr(self, name)).is_integer():
+                raise ValueError(f"Settings.{name} must be a whole number, not {getattr(self, name)!r}")
+            if name in ("nodes", "max_attempts") and getattr(self, name) < 1:
                 raise ValueError(f"Settings.{name} must be 1 or more, not {getattr(self, name)!r}")
         numbers = ("zone", "node", "tick", "connect_timeout", "max_pause", "answer_grace", "drain_grace",
                    "ask_every", "cold_from", "cold_time", "fall_multiple", "fall_window", "over_share_worth",
--- a/millethead/decide/settings.py
+++ b/millethead/decide/settings.py
@@ -57,6 +57,10 @@
         values = family.get(key) or ()
         return values[index] if index < len(values) else default
 
+    for key in ("azs", "kinds", "classes", "tenants"):  # all that is known goes by these names
+        names = [str(x["name"] if isinstance(x, dict) else x) for x in info.get(key) or ()]
+        if len({*names}) < len(names):
+            raise SettingsError(f"{key}: a name stands there twice")
     classes = []
     for n, c in enumerate(info["classes"]):
         stretch = c.get("aim_stretch", per_class("class_stretch", n, 0.0))
@@ -73,7 +77,7 @@
                     for t in info.get("tenants") or ())
     return api.Settings(
         classes=tuple(classes), tenants=tenants, zone=info.get("zone", 0), node=info.get("self_index", 0),
-        nodes=max(1, info.get("balancers", 1)), tick=info.get("tick", 1.0),
+        nodes=max(1, info.get("balancers", 1)), tick=info.get("tick") or 1.0,
         max_attempts=permit.get("try_limit", 3), may_probe=bool(permit.get("probes", False)),
         may_cancel=bool(permit.get("cancel", False)), may_tell=bool(permit.get("may_tell", False)),
         parallel_attempts=bool(permit.get("parallel_tries", False)),
@@ -84,7 +88,8 @@
         max_pause=permit.get("max_retry_after", 0.0) if permit.get("retry_after", False) else 0.0,
         answer_grace=rules.get("grace_to_answer", 0.0), drain_grace=rules.get("drain_grace", 0.0),
         ask_every=rules.get("ask_every", 10_000.0), cold_from=rules.get("cold_from", 0.1),
-        cold_time=rules.get("cold", 0.0), fall_multiple=rules.get("fall_multiple", 1.0),
+        # parts of it are worked out for a worker that has started just now, or by a clock ahead of ours
+        cold_time=rules.get("cold") or 0.001, fall_multiple=rules.get("fall_multiple", 1.0),
         fall_window=rules.get("fall", 1_000.0), over_share_worth=info.get("over_share_worth", 1.0),
         price_cross_zone=prices.get("cross_zone", 0.0), price_fetch=prices.get("origin", 0.0),
         price_probe=prices.get("probe", 0.0), price_peer=prices.get("peer", 0.0),
--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -173,8 +173,10 @@
         try:
             if self._unread >= ASK_AFTER and call != self._ask:
                 await asyncio.sleep(min(PAUSE_MOST, PAUSE * self._unread))
-                await self._ask(turn)
-            await call(turn)
+                if turn == self._turn:  # else it has moved, or begun anew, meanwhile
+                    await self._ask(turn)
+            if turn == self._turn:
+                await call(turn)
         except (Closed, Late, OSError) as error:
             why = str(getattr(error, "real_error", None) or error) or type(error).__name__
         except (BadMessage, BadList, OverflowError, ValueError, RecursionError) as error:
@@ -213,8 +215,9 @@
             response = await self._until(read_response(conn))
         finally:
             conn.close()
-        self._check(response.status)
-        self._take(response.body, turn)
+        if turn == self._turn:
+            self._check(response.status)
+            self._take(response.body, turn)
 
     async def _watch(self, turn: int) -> None:
         since = "" if self.index is None else f"&since={self.index}"
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from tempfile import gettempdir
 from typing import TYPE_CHECKING
@@ -16,9 +17,9 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from millethead.config import Config, ConfigError, load_config
+from millethead.config import NAMED, Config, ConfigError, load_config
 from millethead.decide.interface import Tenant
-from millethead.decide.settings import report_field
+from millethead.decide.settings import report_field, report_fields
 from millethead.exchange.core import Exchange
 from millethead.exchange.stage import Stage
 from millethead.fronts.platform import PlatformFront
@@ -121,7 +122,7 @@
             from millethead.console.store import OutFile
             from millethead.succession.succession import Succession
 
-            folder, whose = Path(gettempdir()), f"{config.name} at {config.listen[0]}:{config.listen[1]}"
+            folder, whose = Path(gettempdir()), config.whose
             self.succession = Succession(
                 folder, config.name, whose, clock, self.exchange, self.workers, self.discovery, self.acceptor,
                 front.resume, lambda body: read_news(body, report, self.workers.news, last=False), self._share_with,
@@ -262,13 +263,16 @@
         fixed = [what for what, differs in (
             ("name", new.name != old.name), ("listen", new.listen != old.listen),
             ("console", new.console != old.console),
-            *((key, new.names(key) != old.names(key)) for key in ("azs", "kinds", "classes", "tenants")),
+            *((key, new.names(key) != old.names(key)) for key in NAMED),
             *((key, new.info.get(key) != old.info.get(key)) for key in ("zone", "self_index", "balancers",
                                                                         "membership_mode", "report")),
+            ("family_info", report_fields(new.info) != report_fields(old.info)),
         ) if differs]
         log.info("reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}",
                  needs_restart=",".join(fixed) or "nothing")
-        if not fixed and new.settings != old.settings:
+        if fixed:  # what comes next is held against what is in force, and not against this one
+            new = replace(old, discovery=new.discovery, sockets=new.sockets)
+        elif new.settings != old.settings:
             self.stage.reconfigure(new.settings)
             self.pool.set_times(*_times(new))
             self.discovery.terms = list_terms(new.settings)
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -212,6 +212,34 @@
     assert (await one.until(b"ready\n")).startswith(b"HTTP/1.1 200 ")
 
 
+async def test_a_job_is_not_handed_over_over_bytes_that_the_loop_has_read(monkeypatch):
+    """Neither in the buffer nor at the socket, they went to nobody."""
+    async with Stage(console=True) as stage:
+        succession, link, came, tried = stage.program.succession, mock.Mock(open=True, sent=True), Connection._came, []
+
+        def look(conn, reading):
+            if conn.job:
+                tried.append(succession._give(link, conn))
+            came(conn, reading)
+
+        monkeypatch.setattr(Connection, "_came", look)
+        worker = asyncio.create_task(serve(stage, done=False))
+        one = Client(stage)
+        one.send(job(b"a"))
+        await soon(lambda: stage.program.exchange.held)
+        (held,) = stage.program.exchange._jobs.values()
+        await soon(lambda: held.attempts and stage.program.workers.movable(held.attempts[0]))
+        one.send(b"x")
+        await soon(lambda: tried)
+        link.send.assert_not_called()
+        (conn,) = stage.program.acceptor.open
+        conn.buffer.take(1)
+        succession._give(link, conn)  # and as soon as there are none
+        assert link.send.call_args.args[0] == "job"
+        one.close()
+        worker.cancel()
+
+
 # ---- clients that leave --------------------------------------------------------------------------------
 
 
@@ -282,8 +310,8 @@
     worker.cancel()
 
 
-async def serve(stage):
-    """Worker 1 and 2 do each job at once and tell so."""
+async def serve(stage, done=True):
+    """Worker 1 and 2 take each job, do it at once and tell so."""
     async def one(reader, writer, name):
         while head := await reader.readuntil(b"\r\n\r\n"):
             if head.startswith(b"GET"):
@@ -291,7 +319,8 @@
                 continue
             writer.write(TAKEN)
             order = head.partition(b"X-Request-ID: ")[2].split(b"\r")[0].decode()
-            stage.program.workers.news(order, name, "done", b"did " + order.encode(), None)
+            if done:
+                stage.program.workers.news(order, name, "done", b"did " + order.encode(), None)
 
     async def accept_all(peers, name):
         tasks = []
