--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from millethead.decide import interface as api
 from millethead.exchange.model import PARENTS, Answer, Final, Order, Plan
@@ -16,6 +17,9 @@
 from millethead.net.news import Take, read_news
 from millethead.net.parse import BadMessage, Request
 
+if TYPE_CHECKING:
+    from millethead.console.figures import More
+
 PAUSE = 1000.0  # ms that a refused client is asked to stay away where the module gives no figure
 _ID = re.compile(r"[!-.0-~]{1,128}")  # printable, and no slash: it becomes part of a path
 _SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,9})?")  # float() would take 1_0, inf and other writing as well
@@ -33,6 +37,7 @@
         # asks other processes of this dispatcher about news: whether it was theirs, None if that cannot be said now
         self.elsewhere: Callable[[bytes], Awaitable[bool | None]] | None = None
         self.stage, self.take, self.report = stage, take, report
+        self.left = 0  # jobs whose client had gone before their answer
         self.classes = {name: n for n, name in enumerate(classes)}
         self.tenants = {name: n for n, name in enumerate(tenants)}
 
@@ -54,7 +59,7 @@
             return Reply(bad.status, f"{bad}\n".encode())
         except Unusable as why:
             return Reply(400, f"{why}\n".encode())
-        return None if answer is None else reply_for(answer)
+        return self._reply(conn, answer)
 
     async def news(self, body: bytes) -> Reply:
         """A call-back, which may be for a job of the process before or after this one."""
@@ -69,8 +74,17 @@
 
     async def resume(self, conn: Connection, number: int, future: asyncio.Future[Answer | None]) -> Reply | None:
         """The reply to a request that the process before this one had read."""
-        answer = await answer_of(self.stage, conn, number, future)
-        return None if answer is None else reply_for(answer)
+        return self._reply(conn, await answer_of(self.stage, conn, number, future))
+
+    def _reply(self, conn: Connection, answer: Answer | None) -> Reply | None:
+        if answer is None:
+            self.left += not conn.handed
+            return None
+        return reply_for(answer)
+
+    def figures(self) -> list[More]:
+        """For the staff's page."""
+        return [("left_total", "counter", "Jobs whose client left before their answer.", [("", "", self.left)])]
 
     def order(self, request: Request, conn: Connection) -> Order:
         fields = request.fields
--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -41,16 +41,16 @@
 class Connection:
     """`job`: the number of the job whose answer it waits for, 0 for none; `midway`: what came of a message is no longer
     all in the buffer; `keeps`: its request lets it live on; `ending`: this side is closed, and what still comes is
-    dropped unread.
+    dropped unread; `handed`: another process has it now.
 
     One read at most is under way, whether somebody waits for it or not."""
 
-    __slots__ = ("_ahead", "_reading", "_waiter", "buffer", "ending", "idle_since", "job", "keeps", "midway",
-                 "stream")
+    __slots__ = ("_ahead", "_reading", "_waiter", "buffer", "ending", "handed", "idle_since", "job", "keeps",
+                 "midway", "stream")
 
     def __init__(self, stream: IOStream) -> None:
         self.stream, self.buffer = stream, Buffer()
-        self.job, self.midway, self.keeps, self.ending = 0, False, True, False
+        self.job, self.midway, self.keeps, self.ending, self.handed = 0, False, True, False, False
         self.idle_since = 0.0
         self._reading: asyncio.Future[int] | asyncio.Future[bytes] | None = None
         self._waiter: asyncio.Future[None] | None = None
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -87,7 +87,7 @@
         self.discovery = Discovery(self.exchange, self.workers, config.discovery, names,
                                    list_terms(config.settings))
         self.exchange.roster = self.discovery
-        front = PlatformFront(self.stage, config.names("classes"), config.names("tenants"),
+        front = self.front = PlatformFront(self.stage, config.names("classes"), config.names("tenants"),
                               self.workers.news, report, door.header if door is not None else "")
         setup = self.operator.faktory
         self.faktory: FaktoryServer | None = None
@@ -131,6 +131,7 @@
             self.desk = FrontDesk(self.exchange, self.stage, config.names("classes"),
                                   OutFile(folder, config.name, whose), self.takes, self.succession.tell_out)
             self.console = Console(Calls(self.desk), CALLERS)
+            self.desk.more.append(front.figures)
             if door is not None:
                 self.desk.more.append(at_door.figures)
         self.goes_on = GOES_ON
--- a/millethead/succession/succession.py
+++ b/millethead/succession/succession.py
@@ -197,6 +197,7 @@
             conn.close()
             return
         link.send(what, fields, body, handed)
+        conn.handed = True
         conn.close()  # the successor's descriptor keeps it up
 
     # ---- what comes over the link ------------------------------------------------------------------
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -5,6 +5,7 @@
 import select
 import socket
 import time
+from contextlib import AsyncExitStack
 from unittest import mock
 
 import pytest
@@ -243,19 +244,66 @@
 # ---- clients that leave --------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("before", [b"", b"x", job(b"next"), b"z" * 60_000, b"z" * 300_000],
-                         ids=["nothing", "a byte", "a request", "60 kB", "300 kB"])
+BEFORE = pytest.mark.parametrize("before", [b"", b"x", job(b"next"), b"z" * 60_000, b"z" * 300_000],
+                                 ids=["nothing", "a byte", "a request", "60 kB", "300 kB"])
+
+
+async def leave(client, before):
+    await asyncio.wait_for(asyncio.get_running_loop().sock_sendall(client.sock, before), PATIENCE)
+    client.sock.shutdown(socket.SHUT_WR)
+
+
+@BEFORE
 async def test_the_end_behind_bytes_not_read_is_seen(stage, client, before):
     """A look at the socket shows the bytes only, and the job went on for nobody."""
     one = client()
     one.send(job(b"a"))
     await soon(lambda: stage.program.exchange.held)
     conn = server_end(stage)
-    task = asyncio.get_running_loop().sock_sendall(one.sock, before)
-    await asyncio.wait_for(task, PATIENCE)
-    one.sock.shutdown(socket.SHUT_WR)
+    await leave(one, before)
     await soon(lambda: not stage.program.exchange.held)
     assert len(conn.buffer) <= MOST
+    await soon(lambda: stage.program.front.left == 1)
+
+
+@BEFORE
+@pytest.mark.parametrize("table", ["[waiting]\n", "[door]\n", "[door]\n[waiting]\n"])
+async def test_it_is_seen_wherever_the_job_stands(table, before):
+    """Held back by a stage, taken out of it and out of the exchange; no attempt begins."""
+    async with Stage(table, workers=0) as stage:
+        one = Client(stage)
+        later = b"X-Run-At: %d\r\nX-Timeout" % (time.time() + 6) if "waiting" in table else b"X-Timeout"
+        one.send(job(b"a").replace(b"X-Timeout", later))
+        await soon(lambda: stage.program.stage.held)
+        await leave(one, before)
+        await soon(lambda: not stage.program.stage.held)
+        await soon(lambda: stage.program.front.left == 1)
+        assert not any(stage.program.exchange.tally.written)
+        one.close()
+
+
+@BEFORE
+async def test_it_is_seen_after_a_hand_over(before, tmp_path, monkeypatch):
+    async with Stage(console=True) as old, AsyncExitStack() as more:
+        monkeypatch.setattr("millethead.program.gettempdir", lambda: str(tmp_path))  # else it would take over at once
+        new = await more.enter_async_context(Stage(console=True))
+        link, worker = mock.Mock(open=True, sent=True), asyncio.create_task(serve(old, done=False))
+        one = Client(old)
+        one.send(job(b"a"))
+        await soon(lambda: old.program.exchange.held)
+        (held,) = old.program.exchange._jobs.values()
+        await soon(lambda: held.attempts and old.program.workers.movable(held.attempts[0]))
+        old.program.succession._give(link, server_end(old))
+        what, fields, body, handed = link.send.call_args.args
+        assert what == "job" and not old.program.exchange.held
+        new.program.succession._adopt(fields, body, socket.socket(fileno=handed))
+        assert new.program.exchange.held
+        await leave(one, before)
+        await soon(lambda: not new.program.exchange.held)
+        await soon(lambda: new.program.front.left == 1)
+        assert old.program.front.left == 0  # it went on elsewhere
+        one.close()
+        worker.cancel()
 
 
 async def test_a_reset_is_seen(stage, client):
@@ -313,6 +361,10 @@
 async def serve(stage, done=True):
     """Worker 1 and 2 take each job, do it at once and tell so."""
     async def one(reader, writer, name):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await talk(reader, writer, name)
+
+    async def talk(reader, writer, name):
         while head := await reader.readuntil(b"\r\n\r\n"):
             if head.startswith(b"GET"):
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=2")
