--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,8 +11,8 @@
 from millethead.door.door import Door
 from millethead.door.setup import DoorSetup
 from millethead.exchange.tally import Tally
-from millethead.lab.clock import VirtualClock
 from millethead.fronts.platform import PlatformFront
+from millethead.lab.clock import VirtualClock
 from millethead.members.setup import MembersSetup
 from millethead.members.shell import Members
 from millethead.tables import Local
@@ -37,7 +37,8 @@
             key.write_bytes(b"k" * 16)
             members = Members(MembersSetup(listen=Local(("127.0.0.1", 1)), key_file=str(key)), "n", "", 1, print)
         door = Door(Inner(), DoorSetup(), VirtualClock(), 1)
-        page = render(Figures([], Tally(0), 0, 0, 0, [*members.figures(), *door.figures(),
-                                                         *PlatformFront(Inner(), [], [], print, print).figures()])).decode()
+        front = PlatformFront(Inner(), [], [], print, print)
+        more = [*members.figures(), *door.figures(), *front.figures()]
+        page = render(Figures([], Tally(0), 0, 0, 0, more)).decode()
         self.assertEqual(figures, set(re.findall(r"# TYPE (\S+)", page)))
         self.assertEqual({word for word in words if "_" in word} - said - outcomes - figures, set())
