--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -34,7 +34,7 @@
 from millethead.exchange.stage import Amendment, Finished, Reply, Unusable, no_plan, one_by_one, repeated
 from millethead.exchange.tally import Tally
 
-HELD = 4096  # jobs held at once; the sockets bound them further
+HELD = 4096  # jobs held at once, with those whose attempts are still out
 BODIES = 32 << 20  # bytes of all bodies held
 OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
 
@@ -67,6 +67,7 @@
         self.finished: Finished | None = None
         self._on_empty: Callable[[], None] | None = None
         self.closing = self.leaving = False
+        self.most = HELD  # jobs that owe their answer at once
         self.ends = float("inf")
         self._module = Balancer(self._with_flows(settings), seed)
         self._steps: deque[tuple[str, Callable[[float], list[api.Action]]]] = deque()
@@ -112,7 +113,8 @@
         if known is not None and not self._offered_again(order, known):
             self.tally.final(order.job_class, Final.FAILED)
             return repeated(order, reply)
-        if self.closing or len(self._jobs) >= HELD or self._bodies + len(order.body) > BODIES:
+        if (self.closing or len(self._jobs) >= HELD or self.held >= self.most
+                or self._bodies + len(order.body) > BODIES):
             log.warning("job_not_taken", job=order.id, closing=self.closing, held=len(self._jobs))
             self.tally.final(order.job_class, Final.REFUSED)
             reply(Answer(Final.REFUSED))
--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 
 import structlog
 from tornado.ioloop import IOLoop
@@ -36,6 +37,9 @@
 ASKED_TIME = 10.0  # s on one that has asked for something else only
 FAULTS = 16  # answers of 4xx or 5xx in a row after which a connection ends: a bad client asks again at once
 BACKLOG = 512  # connections in a listener's queue
+BEYOND = 8  # connections taken in one turn of the loop: over the limit until room is made or they are turned away
+ACCEPT_PAUSE = 0.1  # s without accepting once the system has no descriptor left
+EXHAUSTED = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 POLL = 0.01  # s
 LEAVING, FRESH, ASKED, USUAL = range(4)  # who makes room first: the lower, and among equals the longest there
 
@@ -63,10 +67,54 @@
     def __init__(self, limit: int) -> None:
         super().__init__(max_buffer_size=READ_BUFFER)
         self.limit, self.paused = limit, False
+        self._coming = 0  # accepted, and not looked at yet
+        self._resting = set[int]()  # listeners that wait for a descriptor
         self.open: set[Connection] = set()
         self.idle: dict[Connection, tuple[int, float]] = {}  # those that may be closed to make room
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """As Tornado's, but with an accept of our own: Tornado's takes up to 128 connections before the limit is
+        looked at, which takes the descriptors of all else, and tries again in each turn of the loop when none is
+        left."""
+        for listener in sockets:
+            fd = listener.fileno()
+            self._sockets[fd] = listener
+            self._resting.discard(fd)
+            self._handlers[fd] = partial(IOLoop.current().remove_handler, fd)
+            IOLoop.current().add_handler(fd, lambda fd, _: self._accept_some(fd), IOLoop.READ)
+
+    def _accept_some(self, fd: int) -> None:
+        while self._coming < BEYOND:
+            try:
+                if not self._accept(self._sockets[fd]):
+                    return
+            except OSError as error:
+                if error.errno in EXHAUSTED:
+                    self._exhausted(fd)
+                    return
+
+    def _accept(self, listener: socket.socket) -> bool:
+        """Take one connection of the queue; False where none stands there. Raises OSError, also for one that has
+        gone."""
+        try:
+            sock, address = listener.accept()
+        except BlockingIOError:
+            return False
+        self._coming += 1
+        IOLoop.current().spawn_callback(self.handle_stream, IOStream(sock, max_buffer_size=READ_BUFFER), address)
+        return True
+
+    def _exhausted(self, fd: int) -> None:
+        """The queue would wake the loop at once, over and over, and nothing else would have its turn."""
+        sparing_log.warning("descriptors_exhausted", server=type(self).__name__, open=len(self.open))
+        self.make_room()
+        loop = IOLoop.current()
+        loop.remove_handler(fd)
+        self._resting.add(fd)
+        loop.call_later(ACCEPT_PAUSE, lambda: self.add_sockets([self._sockets[fd]]) if fd in self._resting else None)
+
     async def handle_stream(self, stream: IOStream, address: object) -> None:
+        self._coming -= 1
         stream.max_write_buffer_size = WRITE_BUFFER
         try:
             conn = Connection(stream)
@@ -103,6 +151,7 @@
     def pause(self) -> None:
         """Leave new connections to others that listen on the same socket."""
         self.paused = True
+        self._resting.clear()
         for fd in self._sockets:
             IOLoop.current().remove_handler(fd)
 
@@ -139,12 +188,17 @@
         """Close the listener, and answer whoever came before that, for so long at most. The system resets what stands
         in the queue of a listener that is closed, so that is taken first; one that is paused is another's to take."""
         for listener in () if self.paused else list(self._sockets.values()):
-            with suppress(OSError):  # nobody else stands there
-                for _ in range(BACKLOG):
-                    sock, address = listener.accept()
-                    stream = IOStream(sock, max_buffer_size=READ_BUFFER)
-                    IOLoop.current().spawn_callback(self.handle_stream, stream, address)
+            for _ in range(BACKLOG):
+                try:
+                    if not self._accept(listener):
+                        break
+                except OSError as error:
+                    if error.errno in EXHAUSTED and not self.make_room():
+                        break
+                while self._coming >= BEYOND:  # those beyond the limit give their descriptors back
+                    await asyncio.sleep(0)
         self.stop()
+        self._resting.clear()
         self._sockets.clear()  # a successor that dies now must not have them listened on again
         until = time.monotonic() + seconds
         await asyncio.sleep(POLL)
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -51,6 +51,7 @@
 # s that clients who have just come have for their request when all else is answered, and for what follows that
 LAST, CLOSING = 0.25, 0.05
 CALLERS = 16  # connections of the staff at once: descriptors are kept back for them
+CALL_BACKS = 4  # connections, or a sixteenth of all, that jobs leave to call-backs and checks
 ANSWERED, TAKEN = 100.0, 800.0  # ms before that by which all is answered, and nothing is taken any more
 REPORT_NAMES = ("rif", "inflight", "q", "queue", "busy", "util", "x0", "x1")
 
@@ -288,6 +289,8 @@
         self.pool.limit = sockets * 3 // 10
         room = sockets * 6 // 10 - (CALLERS if self.config.console is not None else 0)
         setup = self.operator.faktory
+        if setup is None:  # each job holds its client's connection: some stay for workers that tell of them
+            self.exchange.most = max(1, room - max(CALL_BACKS, room // 16))
         return room - (min(setup.connections, room // 2) if setup is not None else 0)
 
     def stop(self) -> None:
