--- a/millethead/net/pool.py
+++ b/millethead/net/pool.py
@@ -14,7 +14,7 @@
 
 Address = tuple[str, int]
 READ_BUFFER = 128 << 10
-AGAIN = 0.1  # s within which a connection that failed to come up is tried once more
+CONNECT_RETRY_WINDOW = 0.1  # s within which a connection that failed to come up is tried once more
 KEPT = 2  # idle connections to one worker: they serve probes and cancels, and cost it some of its capacity
 
 
@@ -63,7 +63,7 @@
             return await self._connect(address)
         except ConnectFailed:
             # reset as it came up, not for its time: nothing was sent, and the next one may be taken
-            if time.monotonic() - began > AGAIN:
+            if time.monotonic() - began > CONNECT_RETRY_WINDOW:
                 raise
             return await self._connect(address)
 
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -47,7 +47,7 @@
 HANDING = 1.0  # s after SIGTERM in which jobs go to a successor before any is cut short
 GOES_ON = 0.6  # s after SIGTERM in which new connections are taken as before
 # ms after SIGTERM in which no SIGKILL comes: the longest deadline, or so much where it is longer, and more
-LONGEST, MORE = 3000.0, 700.0
+LONGEST, KILL_MARGIN = 3000.0, 700.0
 # s that clients who have just come have for their request when all else is answered, and for what follows that
 LAST, CLOSING = 0.25, 0.05
 CALLERS = 16  # connections of the staff at once: descriptors are kept back for them
@@ -304,7 +304,7 @@
             return
         if self.members is not None:
             self.members.drain()
-        alive = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + MORE
+        alive = min(LONGEST, max(c.deadline for c in self.config.settings.classes)) + KILL_MARGIN
         self._until = time.monotonic() + alive / 1000 - CLOSING
         self._leaving = loop.create_task(self._leave(alive))
 
