--- a/millethead/config.py
+++ b/millethead/config.py
@@ -5,7 +5,7 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -54,6 +54,7 @@
         raise ConfigError(f"{path}: not a JSON object")
     try:
         info, settings = settings_from(json.dumps(raw.get("settings")).encode())
+        settings = replace(settings, watch_needed=True)  # on sockets pushed lists come on a watch as well
         seed = int(str(raw.get("seed") or "0"), 16)
         sockets = int((raw.get("limits") or {}).get("sockets") or 1024)
         console = raw.get("console") or env.get("BALANCER_CONSOLE")
--- a/millethead/decide/balance.py
+++ b/millethead/decide/balance.py
@@ -27,6 +27,7 @@
 CELLS = 65536  # repeat groups below are zones, from here on cells
 ALONE = CELLS - 1  # the group of a job that may have run at a worker that drops no repeats: nobody is in it
 ASK_APART = 3.0  # ms by which calls of n nodes to discovery are spread, times n * n: what n at once wait in all
+CALL = 4000.0  # ms in which a call to discovery is answered or told as failed, if it is at all
 SCAN = 24  # workers looked at for one release; the fleet is never ranked
 PROBES = 3  # probes in one wave
 OVERDUE, GRACE = 2.0, 600.0  # hinted running times, and ms, after which an attempt is overdue
@@ -191,12 +192,12 @@
     def _listed(self, e: api.WorkerList, out: list[api.Action]) -> None:
         if e.form is ListForm.FAILED:
             self.watching = self.asked = False
-            self._watch_later(out)
+            self._watch_later(e.within, out)
             return
         if e.form < ListForm.CACHED and self.asked:
             self.watching, self.asked, self.backoff = True, False, 0.0
         elif e.form is ListForm.CACHED and self.set.watch_needed:
-            self._watch_later(out)
+            self._watch_later(e.within, out)
         if e.form in (ListForm.FULL, ListForm.CACHED):
             named = {entry.worker for entry in e.workers}
             for gone in [w for w in self.workers if w not in named]:
@@ -228,13 +229,13 @@
         """How many listed workers are left out, by hand or since they failed lately."""
         return sum(w.out or now < w.avoid for w in self.workers.values())
 
-    def _watch_later(self, out: list[api.Action]) -> None:
+    def _watch_later(self, within: float, out: list[api.Action]) -> None:
         """Ask for the list in turn: discovery works off one call after another, those too that have given up
         waiting, so nodes that start or fail together must come spread over its time and not at once (herd)."""
-        n, longest = self.set.nodes, self.set.ask_every / 2
+        n, longest = self.set.nodes, min(self.set.ask_every / 2, within)
         spread = min(longest, ASK_APART * n * n)
         first = spread * (self.set.node + self.rng.random()) / n
-        self._watch_at(self.rng.random() * self.backoff if self.backoff else first, out)
+        self._watch_at(self.rng.random() * min(longest, self.backoff) if self.backoff else first, out)
         self.backoff = min(longest, 2 * self.backoff + spread)
 
     def _watch_at(self, wait: float, out: list[api.Action]) -> None:
@@ -747,7 +748,7 @@
         elif what == WATCHING and self.set.watch_needed and not self.watching and self.now >= self.due - 1:
             self.asked = True
             out.append(api.WatchWorkers(True))
-            self._watch_at(self.set.ask_every / 2 * (1 + self.rng.random()), out)
+            self._watch_at(max(CALL, self.set.ask_every / 2) * (1 + self.rng.random()), out)
 
     def _sweep_later(self, out: list[api.Action]) -> None:
         if not self.waiting:
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -106,7 +106,8 @@
 @dataclass(slots=True, frozen=True)
 class Settings:
     """All that a node is told at its start. Only `classes` is essential. `share`: the part of fleet-wide limits that it
-    may use until the time `share_until` (None: one of `nodes` equal parts, always)."""
+    may use until the time `share_until` (None: one of `nodes` equal parts, always). `watch_needed`: lists come on a
+    watch that the module asks for; `lists_pushed`: what stands in them counts as told without being asked for."""
 
     classes: tuple[JobClass, ...]
     tenants: tuple[Tenant, ...] = ()
@@ -122,6 +123,7 @@
     may_tell: bool = False
     parallel_attempts: bool = False
     watch_needed: bool = False
+    lists_pushed: bool = False
     reports_in_answers: bool = False
     reports_in_probes: bool = False
     connect_timeout: float = 250.0
@@ -192,9 +194,12 @@
 
 @dataclass(slots=True)
 class WorkerList:
+    """`within`: where a list has to be asked for, ms until the next call begins at the latest."""
+
     form: ListForm
     workers: tuple[WorkerEntry, ...] = ()
     version: int = 0
+    within: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/millethead/decide/settings.py
+++ b/millethead/decide/settings.py
@@ -78,6 +78,7 @@
         may_cancel=bool(permit.get("cancel", False)), may_tell=bool(permit.get("may_tell", False)),
         parallel_attempts=bool(permit.get("parallel_tries", False)),
         watch_needed=info.get("membership_mode", "automatic") == "subscribe",
+        lists_pushed=info.get("membership_mode", "automatic") != "subscribe",
         reports_in_answers=how == "answers", reports_in_probes=how in ("answers", "probe"),
         connect_timeout=permit.get("connect_timeout", 250.0),
         max_pause=permit.get("max_retry_after", 0.0) if permit.get("retry_after", False) else 0.0,
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -237,8 +237,10 @@
         if entries:
             self._feed(api.WorkerList(api.ListForm.BY_HAND, tuple(entries)))
 
-    def listed(self, side: ServerSide, form: api.ListForm, lines: Iterable[Listed] = ()) -> None:
-        """A list, or changes of it, from one server side. A whole list speaks for that side alone."""
+    def listed(self, side: ServerSide, form: api.ListForm, lines: Iterable[Listed] = (),
+               within: float = float("inf")) -> None:
+        """A list, or changes of it, from one server side. A whole list speaks for that side alone. `within`: ms until
+        the next call for one begins at the latest."""
         entries: list[api.WorkerEntry] = []
         named: set[str] = set()
         for line in lines:
@@ -263,7 +265,7 @@
                     entries.append(worker.entry)
                 elif worker.name not in named:
                     self._drop(worker)
-        self._feed(api.WorkerList(form, tuple(entries)))
+        self._feed(api.WorkerList(form, tuple(entries), within=within))
 
     def ended(self, attempt: Attempt, outcome: api.Outcome, result: bytes = b"",
               report: api.Report | None = None, unusable: bool = False) -> None:
--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -60,13 +60,17 @@
                 self.buffer.filled(read.result())
             raise
 
+    async def some(self, most: int) -> bytes:
+        """At least one byte, and `most` at the most."""
+        if not len(self.buffer):
+            await self.fill()
+        return self.buffer.take(most)
+
     async def take(self, count: int) -> bytes:
         """Exactly `count` bytes, in pieces, so that the buffer need not hold them all."""
         parts = []
         while count:
-            if not len(self.buffer):
-                await self.fill()
-            parts.append(self.buffer.take(count))
+            parts.append(await self.some(count))
             count -= len(parts[-1])
         return b"".join(parts)
 
--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -6,8 +6,9 @@
 import json
 import math
 import socket
+import time
 from collections.abc import Awaitable, Callable
-from typing import Any, cast
+from typing import Any, TypeVar, cast
 
 import structlog
 from tornado.ioloop import IOLoop
@@ -27,16 +28,15 @@
     read_response,
 )
 from millethead.net.pool import READ_BUFFER, Address
+from millethead.net.terms import MOVED, TOLD, ListTerms
 
 log = structlog.get_logger()
-CONNECT_TIME = 1.0  # s
-ANSWER_TIME = 5.0  # s: calls wait in turn at discovery
-SILENCE = 7.0  # s: an empty line comes every 2 s
-LINE = 1 << 20
+T = TypeVar("T")
+LINE = 1 << 20  # bytes of one list
 # watches in a row that were answered with something else before the whole list is asked for instead: not those that
 # found discovery busy or gone, since a whole list costs it as much as several watches, and all nodes would ask at once
 ASK_AFTER = 2
-PAUSE, PAUSE_MOST = 0.25, 2.0  # s before asking, by failures: a list that came must not start a tight loop
+PAUSE, PAUSE_MOST = 0.25, 1.0  # s before asking, by failures: a list that came must not start a tight loop
 STATES = {"in_service": WorkerState.READY, "terminating": WorkerState.DRAINING,
           "terminated": WorkerState.GONE}
 
@@ -45,6 +45,35 @@
     """Discovery wrote what cannot be meant."""
 
 
+class Lines:
+    """What a watch writes, cut into the objects and empty lines that it means. An object may be indented over several
+    lines; an empty line inside one, or one that does not begin as an object, cannot be meant."""
+
+    def __init__(self) -> None:
+        self._left = self._object = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The objects that `data` completes, and b"" for each empty line; raises BadList."""
+        out: list[bytes] = []
+        *lines, self._left = (self._left + data).split(b"\n")
+        for line in lines:
+            said, line = self._object, line.strip()
+            if not line and not said:
+                out.append(b"")
+                continue
+            if not line or (not said and not line.startswith(b"{")):
+                raise BadList(f"a line that cannot be read: {(said or line)[:40]!r}")
+            said += line + b"\n"
+            # braces in a name can only make it wait for more: it then ends as a bad line at the next empty one
+            if line.endswith(b"}") and said.count(b"{") <= said.count(b"}"):
+                out.append(said)
+                said = b""
+            self._object = said
+        if len(self._left) + len(self._object) > LINE:
+            raise BadList("a line too long")
+        return out
+
+
 class Names:
     """Zones and machine kinds by name, as the settings index them."""
 
@@ -80,12 +109,15 @@
 class Discovery:
     """The exchange's roster. The module says when to watch; a watch that ends is told as a failed list."""
 
-    def __init__(self, exchange: Exchange, side: ServerSide, address: Address, names: Names,
+    def __init__(self, exchange: Exchange, side: ServerSide, address: Address, names: Names, terms: ListTerms,
                  path: str = "/discovery/hosts") -> None:
         self.exchange, self.side, self.address, self.names, self.path = exchange, side, address, names, path
+        self.terms = terms
+        self._sign = time.monotonic()  # s: when discovery was last heard of, or a call to it began
         self.index: int | None = None
         self._conn: Connection | None = None
         self._turn = self._failures = self._unread = 0
+        self._moved = math.inf  # s, steady clock: when the call after one that failed at a new address has to begin
         self.heard: Callable[[list[Listed]], None] | None = None  # told of each list that is taken
 
     def known(self, raw: Any) -> None:
@@ -100,8 +132,8 @@
 
     def inherited(self, index: int | None, lines: list[Listed]) -> None:
         """Start from the list of the process before this one."""
-        self.index = index
-        self.exchange.listed(self.side, ListForm.CACHED, lines)
+        self.index, self._sign = index, time.monotonic()
+        self.exchange.listed(self.side, ListForm.CACHED, lines, self._spare())
 
     def watch(self, on: bool) -> None:
         self.stop()
@@ -115,6 +147,8 @@
             log.info("discovery_moves", address=f"{address[0]}:{address[1]}")
             self.address, self.index, self._failures, self._unread = address, None, 0, 0
             self.watch(True)
+            # what the new one has counts as told sooner than after a call that failed, whatever else comes between
+            self._moved = time.monotonic() + self.terms.again - (TOLD - MOVED)
 
     def ask(self) -> None:
         IOLoop.current().spawn_callback(self._run, self._turn, self._ask)
@@ -125,6 +159,15 @@
             self._conn.close()
             self._conn = None
 
+    def _spare(self) -> float:
+        """ms until the next call has to begin."""
+        begin, self._moved = min(self._sign + self.terms.again, self._moved), math.inf
+        return max(0.0, begin - time.monotonic()) * 1000
+
+    async def _until(self, what: Awaitable[T]) -> T:
+        """Wait for a part of a call or line: all of it has to be there in time, however its bytes come."""
+        return await within(self._sign + self.terms.silence - time.monotonic(), what)
+
     async def _run(self, turn: int, call: Callable[[int], Awaitable[None]]) -> None:
         why = "it ended"
         try:
@@ -134,9 +177,10 @@
             await call(turn)
         except (Closed, Late, OSError) as error:
             why = str(getattr(error, "real_error", None) or error) or type(error).__name__
-        except (BadMessage, BadList, OverflowError, ValueError) as error:
-            log.warning("discovery_bad_line", why=str(error))
-            why, self.index = "a bad line", None
+        except (BadMessage, BadList, OverflowError, ValueError, RecursionError) as error:
+            if turn == self._turn:
+                log.warning("discovery_bad_line", why=str(error))
+                why, self.index = "a bad line", None
         except Exception:
             log.exception("discovery_broke")
         else:
@@ -147,13 +191,14 @@
             if not self._failures & (self._failures - 1):  # the first, and ever fewer of those that follow
                 log.info("discovery_lost", why=why, failures=self._failures)
             self.stop()
-            self.exchange.listed(self.side, ListForm.FAILED)
+            self.exchange.listed(self.side, ListForm.FAILED, within=self._spare())
 
     async def _call(self, query: str) -> Connection:
+        self._sign = time.monotonic()
         stream = IOStream(socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET),
                           max_buffer_size=READ_BUFFER, max_write_buffer_size=WRITE_BUFFER)
         try:
-            await within(CONNECT_TIME, cast(Awaitable[IOStream], stream.connect(self.address)))
+            await within(self.terms.connect, cast(Awaitable[IOStream], stream.connect(self.address)))
             conn = Connection(stream)
             await conn.write(f"GET {self.path}{query} HTTP/1.1\r\n"
                              f"Host: {self.address[0]}:{self.address[1]}\r\n\r\n".encode("latin-1"))
@@ -165,7 +210,7 @@
     async def _ask(self, turn: int) -> None:
         conn = await self._call("")
         try:
-            response = await within(ANSWER_TIME, read_response(conn))
+            response = await self._until(read_response(conn))
         finally:
             conn.close()
         self._check(response.status)
@@ -178,29 +223,30 @@
             conn.close()
             return
         self._conn = conn
-        head = parse_response(await within(ANSWER_TIME, read_head(conn)))
+        head = parse_response(await self._until(read_head(conn)))
         self._check(head.status)
         self._unread += 1  # until it has written something that can be read
         if body_length(head.fields) is not None:
             raise BadList("a watch that is no chunked answer")
-        left, heard = b"", False
-        while size := await within(SILENCE, chunk_size(conn)):
-            if len(left) + size > LINE:
-                raise BadList("a line too long")
-            left += await within(SILENCE, conn.take(size))
-            await within(SILENCE, chunk_end(conn))
-            *lines, left = left.split(b"\n")
-            for line in lines:
-                if turn != self._turn:
-                    return
-                if line.strip():
-                    self._take(line, turn)
-                elif not heard:  # nothing has changed since: the module must hear that the watch stands
-                    self.exchange.listed(self.side, ListForm.DELTA)
-                heard = True
-                if self._failures:
-                    log.info("discovery_back", failures=self._failures)
-                self._failures = self._unread = 0
+        lines, heard = Lines(), False
+        while left := await self._until(chunk_size(conn)):
+            while left:
+                data = await self._until(conn.some(left))
+                left -= len(data)
+                for line in lines.feed(data):
+                    if turn != self._turn:
+                        return
+                    self._sign = time.monotonic()
+                    if line:
+                        self._take(line, turn)
+                    elif not heard:  # nothing has changed since: the module must hear that the watch stands
+                        self.exchange.listed(self.side, ListForm.DELTA)
+                    heard = True
+                    if self._failures:
+                        log.info("discovery_back", failures=self._failures)
+                    self._failures = self._unread = 0
+            await self._until(chunk_end(conn))
+        self._sign = time.monotonic()
 
     def _check(self, status: int) -> None:
         if status != 200:
@@ -210,6 +256,8 @@
     def _take(self, text: bytes, turn: int) -> None:
         index, whole, lines = self.names.read(json.loads(text))
         if turn == self._turn:
+            if not whole and self.index is not None and index < self.index:
+                raise BadList("versions are counted anew, but only changes came")
             self.index = index
             self.exchange.listed(self.side, ListForm.FULL if whole else ListForm.DELTA, lines)
             if self.heard is not None:
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -29,6 +29,7 @@
 from millethead.net.pool import Pool
 from millethead.net.probes import Probes, report_reader
 from millethead.net.send import HttpWorkers
+from millethead.net.terms import list_terms
 from millethead.operators import Operator
 
 if TYPE_CHECKING:  # what is not set up is not imported
@@ -82,7 +83,8 @@
         self.pool = Pool(0, *_times(config))
         self.workers = HttpWorkers(self.exchange, self.pool, Probes(self.exchange, self.pool, report), report)
         names = Names(config.names("azs"), config.names("kinds"))
-        self.discovery = Discovery(self.exchange, self.workers, config.discovery, names)
+        self.discovery = Discovery(self.exchange, self.workers, config.discovery, names,
+                                   list_terms(config.settings))
         self.exchange.roster = self.discovery
         front = PlatformFront(self.stage, config.names("classes"), config.names("tenants"),
                               self.workers.news, report, door.header if door is not None else "")
@@ -269,6 +271,7 @@
         if not fixed and new.settings != old.settings:
             self.stage.reconfigure(new.settings)
             self.pool.set_times(*_times(new))
+            self.discovery.terms = list_terms(new.settings)
         room = self._share_sockets(new.sockets)
         self.acceptor.limit = room
         self.config = new
