--- a/millethead/adapter/__main__.py
+++ b/millethead/adapter/__main__.py
@@ -32,7 +32,7 @@
             elif code == 25:
                 if at + 4 > end:
                     raise wire.WireError("a shutdown record is too short")
-                nodes.pop(int.from_bytes(body[at:at + 4], "little"), None)
+                nodes.pop(int.from_bytes(body[at : at + 4], "little"), None)
             else:
                 found = decoder.event(code, body, at, end)
                 if found is not None and (node := nodes.get(found[0])) is not None:
--- a/millethead/adapter/wire.py
+++ b/millethead/adapter/wire.py
@@ -103,10 +103,10 @@
             raise WireError("a directory record holds fewer entries than it says")
         entries = []
         for worker, zone, kind, cell, state, rating, started in _ENTRY.iter_unpack(
-                body[at + 6:at + 6 + count * _ENTRY.size]):
+            body[at + 6 : at + 6 + count * _ENTRY.size]
+        ):
             if state <= 2:
-                entries.append(api.WorkerEntry(worker, zone, kind, cell, api.WorkerState(state), rating,
-                                               started))
+                entries.append(api.WorkerEntry(worker, zone, kind, cell, api.WorkerState(state), rating, started))
         self._banks[number] = tuple(entries)
 
     def _report(self, instance: int, body: bytes, at: int, count: int, end: int) -> api.Report | None:
@@ -116,8 +116,11 @@
         if not count or known is None:
             return None
         values = struct.unpack_from(f"<{count}f", body, at)
-        named = {name: value for name, value in zip(known.columns, values, strict=False)
-                 if name and value == value and abs(value) < 1e9}
+        named = {
+            name: value
+            for name, value in zip(known.columns, values, strict=False)
+            if name and value == value and abs(value) < 1e9
+        }
         return api.Report(**named) if named else None
 
     def event(self, code: int, body: bytes, at: int, end: int) -> tuple[int, api.Event] | None:
@@ -147,8 +150,9 @@
             return i, api.TimerFired(token)
         if code == 18:
             i, job, slots, cls, hint, marks, left, memory, tenant, key = _QUERY.unpack_from(body, at)
-            return i, api.JobArrived(job, cls, left, slots or 1.0, memory, tenant, key,
-                                     hint if marks & 1 else None, bool(marks & 2))
+            return i, api.JobArrived(
+                job, cls, left, slots or 1.0, memory, tenant, key, hint if marks & 1 else None, bool(marks & 2)
+            )
         if code == 23:
             i, lag, worker, how, n = _PONG.unpack_from(body, at)
             outcome = api.Outcome(how) if 1 <= how <= 8 else api.Outcome.ERROR
@@ -171,7 +175,7 @@
         i, sender, size = _MESSAGE.unpack_from(body, at)
         if at + need + size > end:
             raise WireError("a message runs past the end of its record")
-        return i, api.PeerMessage(sender, bytes(body[at + need:at + need + size]))
+        return i, api.PeerMessage(sender, bytes(body[at + need : at + need + size]))
 
     @staticmethod
     def opening(body: bytes, at: int, end: int) -> tuple[int, int, bytes]:
@@ -181,11 +185,20 @@
         instance, seed, size = _OPEN.unpack_from(body, at)
         if at + _OPEN.size + size > end:
             raise WireError("settings run past the end of their record")
-        return instance, seed, bytes(body[at + _OPEN.size:at + _OPEN.size + size])
-
-
-_NEED = {17: _SYNC.size, 18: _QUERY.size, 19: _STREAMING.size, 20: _ENDED.size, 21: _GONE.size,
-         22: _GONE.size, 23: _PONG.size, 24: _MESSAGE.size, 27: _HEARTBEAT.size}
+        return instance, seed, bytes(body[at + _OPEN.size : at + _OPEN.size + size])
+
+
+_NEED = {
+    17: _SYNC.size,
+    18: _QUERY.size,
+    19: _STREAMING.size,
+    20: _ENDED.size,
+    21: _GONE.size,
+    22: _GONE.size,
+    23: _PONG.size,
+    24: _MESSAGE.size,
+    27: _HEARTBEAT.size,
+}
 
 
 def encode(instance: int, actions: list[api.Action], out: list[bytes]) -> None:
--- a/millethead/cli.py
+++ b/millethead/cli.py
@@ -61,19 +61,29 @@
     """What an operator's file has set up, with the bounds that hold."""
     lines = []
     if operator.faktory is not None:
-        lines.append("faktory: {0}:{1}, {connections} connections".format(
-            *operator.faktory.listen, connections=operator.faktory.connections))
+        lines.append(
+            "faktory: {0}:{1}, {connections} connections".format(
+                *operator.faktory.listen, connections=operator.faktory.connections
+            )
+        )
     if operator.flows is not None:
         lines.append("ipfix: to {}:{}".format(*operator.flows.collector))
     waiting = operator.waiting
     if waiting is not None:
-        lines.append(f"waiting: {waiting.jobs} jobs, {waiting.bytes} bytes, {waiting.edges} edges, set times up to "
-                     f"{waiting.horizon_s:.0f} s ahead, {waiting.aged_rate:g} aged starts a second for all")
+        lines.append(
+            f"waiting: {waiting.jobs} jobs, {waiting.bytes} bytes, {waiting.edges} edges, set times up to "
+            f"{waiting.horizon_s:.0f} s ahead, {waiting.aged_rate:g} aged starts a second for all"
+        )
         for name, known in zip(config.names("classes"), config.settings.classes, strict=True):
             bound = waiting.classes.get(name)
-            lines.append(f"waiting.classes.{name}: " + (
-                f"answered within {bound.bound_s:g} s of being due, refused ones wait on" if bound is not None
-                else f"answered within {known.deadline / 1000:g} s of being due, refused ones are not kept"))
+            lines.append(
+                f"waiting.classes.{name}: "
+                + (
+                    f"answered within {bound.bound_s:g} s of being due, refused ones wait on"
+                    if bound is not None
+                    else f"answered within {known.deadline / 1000:g} s of being due, refused ones are not kept"
+                )
+            )
     return lines
 
 
--- a/millethead/config.py
+++ b/millethead/config.py
@@ -72,8 +72,13 @@
             name=str(raw.get("name") or env.get("BALANCER_NAME") or "dispatcher"),
             listen=parse_address(raw.get("listen") or env.get("BALANCER_LISTEN"), "listen"),
             discovery=parse_address(raw.get("discovery") or env.get("BALANCER_DISCOVERY"), "discovery"),
-            seed=seed, sockets=sockets, known=raw.get("known"), info=info, settings=settings,
-            console=parse_address(console, "console") if console else None)
+            seed=seed,
+            sockets=sockets,
+            known=raw.get("known"),
+            info=info,
+            settings=settings,
+            console=parse_address(console, "console") if console else None,
+        )
         for key in NAMED:  # on the wire of the simulator numbers will do, here all goes by names
             made.names(key)
         return made
--- a/millethead/console/calls.py
+++ b/millethead/console/calls.py
@@ -11,8 +11,12 @@
 from millethead.net.accept import Reply
 from millethead.net.parse import Request
 
-METHODS = {"/ops/readiness": "GET", "/ops/stats": "GET", "/ops/booking-workers/down": "POST",
-           "/ops/booking-workers/up": "POST"}
+METHODS = {
+    "/ops/readiness": "GET",
+    "/ops/stats": "GET",
+    "/ops/booking-workers/down": "POST",
+    "/ops/booking-workers/up": "POST",
+}
 WANTED = 'a JSON object with the id of a booking worker is wanted: {"member":"ID"}'
 
 
--- a/millethead/console/desk.py
+++ b/millethead/console/desk.py
@@ -19,8 +19,15 @@
     """`takes_clients` says why no clients are taken, with nothing for yes; `told` is called when the set of workers out
     has changed."""
 
-    def __init__(self, exchange: Exchange, stage: Stage, classes: Sequence[str], file: OutFile,
-                 takes_clients: Callable[[], str], told: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        stage: Stage,
+        classes: Sequence[str],
+        file: OutFile,
+        takes_clients: Callable[[], str],
+        told: Callable[[], None],
+    ) -> None:
         self.exchange, self.stage, self.classes, self.file = exchange, stage, classes, file
         self.takes_clients, self.told = takes_clients, told
         self.more: list[Callable[[], list[More]]] = []  # figures of parts that an operator has set up
@@ -37,8 +44,14 @@
         return self.takes_clients()
 
     def figures(self) -> Figures:
-        return Figures(self.classes, self.exchange.tally, self.stage.held, len(self.exchange.workers),
-                       self.exchange.down, [figure for part in self.more for figure in part()])
+        return Figures(
+            self.classes,
+            self.exchange.tally,
+            self.stage.held,
+            len(self.exchange.workers),
+            self.exchange.down,
+            [figure for part in self.more for figure in part()],
+        )
 
     def take_out(self, member: str) -> None:
         out = self.exchange.out
--- a/millethead/console/store.py
+++ b/millethead/console/store.py
@@ -39,8 +39,11 @@
             if len(raw) > BYTES or text["version"] != VERSION or text["whose"] != self.whose:
                 raise ValueError("it is too large, of another version or of another dispatcher")
             out = text["out"]
-            if not isinstance(out, list) or len(out) > MOST or not all(
-                    isinstance(name, str) and 0 < len(name) <= NAME for name in out):
+            if (
+                not isinstance(out, list)
+                or len(out) > MOST
+                or not all(isinstance(name, str) and 0 < len(name) <= NAME for name in out)
+            ):
                 raise ValueError("its list cannot be meant")
         except (ValueError, KeyError, TypeError, RecursionError) as error:
             log.warning("out_file_unusable", why=repr(error))
--- a/millethead/decide/carry.py
+++ b/millethead/decide/carry.py
@@ -10,21 +10,39 @@
 from typing import Any
 
 from millethead.decide import interface as api
-from millethead.decide.balance import DEADLINE, Balancer, _Flow, _Job, _Worker
+from millethead.decide.balance import DEADLINE, Balancer
+from millethead.decide.records import Flow, Job, Worker
 
 FIGURES = ("work", "slots", "period", "trust", "shift")
 BY_NUMBER = ("pace", "held", "busy", "size", "alarm")
-OF_WORKER = ("free", "queued", "memory", "stamp", "heard", "luck", "slow", "bad", "avoid", "turn", "shy", "full",
-             "fulls", "odd")
+OF_WORKER = (
+    "free",
+    "queued",
+    "memory",
+    "stamp",
+    "heard",
+    "luck",
+    "slow",
+    "bad",
+    "avoid",
+    "turn",
+    "shy",
+    "full",
+    "fulls",
+    "odd",
+)
 OF_FLOW = ("local", "glob", "lowered")
 OF_JOB = ("slots", "memory", "local", "glob", "end", "late", "own", "came", "tries", "ran", "group")
 
 
 def figures(module: Balancer) -> dict[str, Any]:
     """What was learned of the whole fleet, and the tenants' tags."""
-    return {**{name: getattr(module, name) for name in FIGURES}, "took": module.took,
-            **{name: list(getattr(module, name).items()) for name in BY_NUMBER},
-            "flows": [[getattr(flow, name) for name in OF_FLOW] for flow in module.flows]}
+    return {
+        **{name: getattr(module, name) for name in FIGURES},
+        "took": module.took,
+        **{name: list(getattr(module, name).items()) for name in BY_NUMBER},
+        "flows": [[getattr(flow, name) for name in OF_FLOW] for flow in module.flows],
+    }
 
 
 def take_figures(module: Balancer, said: dict[str, Any]) -> None:
@@ -42,8 +60,16 @@
 
 def workers(module: Balancer) -> list[dict[str, Any]]:
     """What is known of each worker: its reports, its faults, and how far a cold one's turns are used."""
-    return [{"id": w.id, "started": w.started, "good": list(w.good.items()), "shun": list(w.shun.items()),
-             **{name: getattr(w, name) for name in OF_WORKER}} for w in module.workers.values()]
+    return [
+        {
+            "id": w.id,
+            "started": w.started,
+            "good": list(w.good.items()),
+            "shun": list(w.shun.items()),
+            **{name: getattr(w, name) for name in OF_WORKER},
+        }
+        for w in module.workers.values()
+    ]
 
 
 def take_worker(module: Balancer, said: dict[str, Any]) -> None:
@@ -67,8 +93,15 @@
     job.done = True
     del module.jobs[number]
     said: dict[str, Any] = {name: float(getattr(job, name)) for name in OF_JOB}
-    said.update(out=[(n, w.id, sent) for n, (w, sent) in job.out.items()], taken=sorted(job.taken),
-                left=sorted(job.left), cls=job.cls, key=job.key, flow=job.flow.index, shape=job.shape[2])
+    said.update(
+        out=[(n, w.id, sent) for n, (w, sent) in job.out.items()],
+        taken=sorted(job.taken),
+        left=sorted(job.left),
+        cls=job.cls,
+        key=job.key,
+        flow=job.flow.index,
+        shape=job.shape[2],
+    )
     for w, sent in job.out.values():
         module.put_away(job, w, sent)
     return said
@@ -76,11 +109,12 @@
 
 def adopt(module: Balancer, number: int, said: dict[str, Any], now: float) -> list[api.Action]:
     """Put a job of the predecessor in under a new number, with its attempts; returns what the module does next."""
-    flow: _Flow = module.flows[min(int(said["flow"]), len(module.flows) - 1)]
+    flow: Flow = module.flows[min(int(said["flow"]), len(module.flows) - 1)]
     module.seq += 1
-    event = api.JobArrived(number, int(said["cls"]), 0.0, float(said["slots"]), float(said["memory"]), 0,
-                           int(said["key"]))
-    job = _Job(event, flow, module.seq, now, float(said["own"]))
+    event = api.JobArrived(
+        number, int(said["cls"]), 0.0, float(said["slots"]), float(said["memory"]), 0, int(said["key"])
+    )
+    job = Job(event, flow, module.seq, now, float(said["own"]))
     for name in ("local", "glob", "end", "late", "came", "ran"):
         setattr(job, name, float(said[name]))
     job.tries, job.group = int(said["tries"]), int(said["group"])
@@ -90,7 +124,7 @@
     for n, worker, sent in said["out"]:
         w = module.workers.get(worker)
         if w is None:  # it is in no list any more, and may still tell how the job ended
-            w = _Worker(api.WorkerEntry(worker))
+            w = Worker(api.WorkerEntry(worker))
             w.open = False
         module.put_out(job, int(n), w, float(sent))
     module.now = now
--- a/millethead/decide/interface.py
+++ b/millethead/decide/interface.py
@@ -82,8 +82,15 @@
     streaming: bool = False
 
     def __post_init__(self) -> None:
-        _check("JobClass", deadline=self.deadline, aim=self.aim, stretch=self.stretch, worth=self.worth,
-               late_worth=self.late_worth, window=self.window)
+        _check(
+            "JobClass",
+            deadline=self.deadline,
+            aim=self.aim,
+            stretch=self.stretch,
+            worth=self.worth,
+            late_worth=self.late_worth,
+            window=self.window,
+        )
         if self.deadline == 0:
             raise ValueError("JobClass.deadline must be more than 0")
 
@@ -155,10 +162,27 @@
                 raise ValueError(f"Settings.{name} must be 1 or more, not {getattr(self, name)!r}")
         if self.cold_from > 1:
             raise ValueError(f"Settings.cold_from is a part of 1, not {self.cold_from!r}")
-        numbers = ("zone", "node", "tick", "connect_timeout", "max_pause", "answer_grace", "drain_grace",
-                   "ask_every", "cold_from", "cold_time", "fall_multiple", "fall_window", "over_share_worth",
-                   "price_cross_zone", "price_fetch", "price_probe", "price_peer", "price_late_fail",
-                   "progress_every")
+        numbers = (
+            "zone",
+            "node",
+            "tick",
+            "connect_timeout",
+            "max_pause",
+            "answer_grace",
+            "drain_grace",
+            "ask_every",
+            "cold_from",
+            "cold_time",
+            "fall_multiple",
+            "fall_window",
+            "over_share_worth",
+            "price_cross_zone",
+            "price_fetch",
+            "price_probe",
+            "price_peer",
+            "price_late_fail",
+            "progress_every",
+        )
         _check("Settings", **{name: getattr(self, name) for name in numbers})
 
 
@@ -295,8 +319,19 @@
     payload: bytes
 
 
-Event = (WorkerList | JobArrived | JobWithdrawn | Closing | AttemptStreaming | AttemptTaken | AttemptProgress
-         | AttemptEnded | ProbeEnded | TimerFired | PeerMessage)
+Event = (
+    WorkerList
+    | JobArrived
+    | JobWithdrawn
+    | Closing
+    | AttemptStreaming
+    | AttemptTaken
+    | AttemptProgress
+    | AttemptEnded
+    | ProbeEnded
+    | TimerFired
+    | PeerMessage
+)
 
 # ---- actions: what a node does, in the order given -------------------------------------------------
 
@@ -360,4 +395,4 @@
     node: int | None = field(default=None)
 
 
-Action = (Send | CancelAttempt | Refuse | Fail | Probe | SetTimer | WatchWorkers | ListWorkers | TellPeers)
+Action = Send | CancelAttempt | Refuse | Fail | Probe | SetTimer | WatchWorkers | ListWorkers | TellPeers
--- a/millethead/decide/settings.py
+++ b/millethead/decide/settings.py
@@ -8,8 +8,7 @@
 from millethead.decide import interface as api
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-_COLUMNS = {"rif": "held", "inflight": "held", "q": "queued", "queue": "queued", "busy": "busy",
-            "util": "busy"}
+_COLUMNS = {"rif": "held", "inflight": "held", "q": "queued", "queue": "queued", "busy": "busy", "util": "busy"}
 
 
 class SettingsError(Exception):
@@ -28,8 +27,13 @@
     if column in ("x0", "x1"):
         meaning = str(family.get("report_" + column, "")).lower()
         default = "slot" if column == "x0" else "memory"
-        return ("free_memory" if "memory" in (meaning or default) else
-                "free_slots" if "slot" in (meaning or default) else None)
+        return (
+            "free_memory"
+            if "memory" in (meaning or default)
+            else "free_slots"
+            if "slot" in (meaning or default)
+            else None
+        )
     return _COLUMNS.get(column)
 
 
@@ -66,33 +70,57 @@
         stretch = c.get("aim_stretch", per_class("class_stretch", n, 0.0))
         kind = int(per_class("class_kind", n, -1))
         scope = c.get("dedup_scope", "cell")
-        classes.append(api.JobClass(
-            deadline=c["deadline"], aim=c.get("goal_time", c["deadline"]), stretch=stretch or 0.0,
-            worth=c.get("worth", 1.0), late_worth=c.get("late_worth", 0.0),
-            effect=_EFFECTS.get(c.get("effect", ""), api.Effect.UNSAFE),
-            group=api.Group(scope) if scope in ("all", "zone", "cell") else api.Group.CELL,
-            window=c.get("window", 0.0), kind=None if kind < 0 else kind,
-            priority=int(per_class("class_priority", n, 0)), streaming=bool(c.get("streaming", False))))
-    tenants = tuple(api.Tenant(reservation=t.get("quota_rps"), name=str(t.get("name", "")))
-                    for t in info.get("tenants") or ())
+        classes.append(
+            api.JobClass(
+                deadline=c["deadline"],
+                aim=c.get("goal_time", c["deadline"]),
+                stretch=stretch or 0.0,
+                worth=c.get("worth", 1.0),
+                late_worth=c.get("late_worth", 0.0),
+                effect=_EFFECTS.get(c.get("effect", ""), api.Effect.UNSAFE),
+                group=api.Group(scope) if scope in ("all", "zone", "cell") else api.Group.CELL,
+                window=c.get("window", 0.0),
+                kind=None if kind < 0 else kind,
+                priority=int(per_class("class_priority", n, 0)),
+                streaming=bool(c.get("streaming", False)),
+            )
+        )
+    tenants = tuple(
+        api.Tenant(reservation=t.get("quota_rps"), name=str(t.get("name", ""))) for t in info.get("tenants") or ()
+    )
     return api.Settings(
-        classes=tuple(classes), tenants=tenants, zone=info.get("zone", 0), node=info.get("self_index", 0),
-        nodes=max(1, info.get("balancers", 1)), tick=info.get("tick") or 1.0,
-        max_attempts=permit.get("try_limit", 3), may_probe=bool(permit.get("probes", False)),
-        may_cancel=bool(permit.get("cancel", False)), may_tell=bool(permit.get("may_tell", False)),
+        classes=tuple(classes),
+        tenants=tenants,
+        zone=info.get("zone", 0),
+        node=info.get("self_index", 0),
+        nodes=max(1, info.get("balancers", 1)),
+        tick=info.get("tick") or 1.0,
+        max_attempts=permit.get("try_limit", 3),
+        may_probe=bool(permit.get("probes", False)),
+        may_cancel=bool(permit.get("cancel", False)),
+        may_tell=bool(permit.get("may_tell", False)),
         parallel_attempts=bool(permit.get("parallel_tries", False)),
         watch_needed=info.get("membership_mode", "automatic") == "subscribe",
         lists_pushed=info.get("membership_mode", "automatic") != "subscribe",
-        reports_in_answers=how == "answers", reports_in_probes=how in ("answers", "probe"),
+        reports_in_answers=how == "answers",
+        reports_in_probes=how in ("answers", "probe"),
         connect_timeout=permit.get("connect_timeout", 250.0),
         max_pause=permit.get("max_retry_after", 0.0) if permit.get("retry_after", False) else 0.0,
-        answer_grace=rules.get("grace_to_answer", 0.0), drain_grace=rules.get("drain_grace", 0.0),
-        ask_every=rules.get("ask_every", 10_000.0), cold_from=rules.get("cold_from", 0.1),
+        answer_grace=rules.get("grace_to_answer", 0.0),
+        drain_grace=rules.get("drain_grace", 0.0),
+        ask_every=rules.get("ask_every", 10_000.0),
+        cold_from=rules.get("cold_from", 0.1),
         # parts of it are worked out for a worker that has started just now, or by a clock ahead of ours
-        cold_time=rules.get("cold") or 0.001, fall_multiple=rules.get("fall_multiple", 1.0),
-        fall_window=rules.get("fall", 1_000.0), over_share_worth=info.get("over_share_worth", 1.0),
-        price_cross_zone=prices.get("cross_zone", 0.0), price_fetch=prices.get("origin", 0.0),
-        price_probe=prices.get("probe", 0.0), price_peer=prices.get("peer", 0.0),
+        cold_time=rules.get("cold") or 0.001,
+        fall_multiple=rules.get("fall_multiple", 1.0),
+        fall_window=rules.get("fall", 1_000.0),
+        over_share_worth=info.get("over_share_worth", 1.0),
+        price_cross_zone=prices.get("cross_zone", 0.0),
+        price_fetch=prices.get("origin", 0.0),
+        price_probe=prices.get("probe", 0.0),
+        price_peer=prices.get("peer", 0.0),
         price_late_fail=prices.get("late_fail", 0.0),
         backfill=family.get("queue_order", "fifo") != "fifo",
-        tells_start=bool(family.get("tells_start", False)), progress_every=family.get("progress", 0.0) or 0.0)
+        tells_start=bool(family.get("tells_start", False)),
+        progress_every=family.get("progress", 0.0) or 0.0,
+    )
--- a/millethead/door/door.py
+++ b/millethead/door/door.py
@@ -27,10 +27,14 @@
 LEAST = 50.0  # ms of its own time that a job must have left to be let in
 
 # what is counted by tenant: name of the figure -> what it says
-FIGURES = {"offered": "Jobs that came to the door.", "let_in": "Jobs let in from the door.",
-           "turned_away": "Jobs refused at the door.", "promised": "Times to come back that were told with a claim.",
-           "kept": "Clients that came back in time and were not refused.",
-           "broken": "Clients that came back in time and were refused."}
+FIGURES = {
+    "offered": "Jobs that came to the door.",
+    "let_in": "Jobs let in from the door.",
+    "turned_away": "Jobs refused at the door.",
+    "promised": "Times to come back that were told with a claim.",
+    "kept": "Clients that came back in time and were not refused.",
+    "broken": "Clients that came back in time and were refused.",
+}
 
 log = structlog.get_logger()
 sparing_log = Sparing()
@@ -114,13 +118,24 @@
         """For the staff's page."""
         counts = self.tally + self.promises.by_tenant
         return [
-            *((f"door_{name}_total", "counter", text,
-               [("tenant", tenant, counts[name, n]) for n, tenant in enumerate(self.tenants)])
-              for name, text in FIGURES.items()),
+            *(
+                (
+                    f"door_{name}_total",
+                    "counter",
+                    text,
+                    [("tenant", tenant, counts[name, n]) for n, tenant in enumerate(self.tenants)],
+                )
+                for name, text in FIGURES.items()
+            ),
             ("door_queued", "gauge", "Jobs that stand at the door.", [("", "", len(self.queue))]),
-            ("door_window", "gauge", "Jobs that may wait for a worker inside, and why so many.",
-             [("why", self.window.why, self.window.room)]),
-            ("door_drain", "gauge", "Work done, in ms a ms.", [("", "", round(self.drain.rate, 3))])]
+            (
+                "door_window",
+                "gauge",
+                "Jobs that may wait for a worker inside, and why so many.",
+                [("why", self.window.why, self.window.room)],
+            ),
+            ("door_drain", "gauge", "Work done, in ms a ms.", [("", "", round(self.drain.rate, 3))]),
+        ]
 
     # ---- events --------------------------------------------------------------------------------------
 
@@ -152,8 +167,7 @@
                 self.promises.kept(guest.item.tenant, False, "full")
             pause = self._promise(guest, ahead)
             self.tally["turned_away", tenant] += 1
-            sparing_log.warning("door_turned_away", job=order.id, tenant=tenant, full=full,
-                                back_in_ms=round(pause))
+            sparing_log.warning("door_turned_away", job=order.id, tenant=tenant, full=full, back_in_ms=round(pause))
             reply(Answer(Final.REFUSED, pause=pause))
             return 0
         self._guests[guest.number] = self._standing[name] = guest
@@ -189,8 +203,14 @@
     def leave(self, left: float | None) -> None:
         """All who stand at the door are told at once: they never ran, and others may take them."""
         if not self._leaving:
-            log.info("door_ends", queued=len(self.queue), window=self.window.room, why=self.window.why,
-                     drain=round(self.drain.rate, 2), **self.promises.counts)
+            log.info(
+                "door_ends",
+                queued=len(self.queue),
+                window=self.window.room,
+                why=self.window.why,
+                drain=round(self.drain.rate, 2),
+                **self.promises.counts,
+            )
         self._leaving = True
         for guest in list(self._standing.values()):
             self._leaves(guest)
@@ -277,8 +297,9 @@
         """When its client may come back, in ms."""
         item = guest.item
         share = self.queue.share(item.tenant)
-        return self.promises.give(self.clock.now(), item.tenant, item.client, item.cost, ahead * share,
-                                  self.drain.rate * share)
+        return self.promises.give(
+            self.clock.now(), item.tenant, item.client, item.cost, ahead * share, self.drain.rate * share
+        )
 
     def _leaves(self, guest: Guest) -> None:
         self.queue.drop(guest.item)
--- a/millethead/door/fair.py
+++ b/millethead/door/fair.py
@@ -73,8 +73,7 @@
         mine = lane.cost if lane is not None else 0.0
         # in the rounds that its own lane takes, each other lane takes as much, or what it has
         rounds = -(-(mine + 1.0) // self.quantum) * self.quantum
-        mine += sum(min(other.cost, rounds) for n, other in own.lanes.items()
-                    if n not in (number, FIRST))
+        mine += sum(min(other.cost, rounds) for n, other in own.lanes.items() if n not in (number, FIRST))
         mine += first.cost if (first := own.lanes.get(FIRST)) is not None else 0.0
         return min(self.cost, mine / self.share(tenant))
 
--- a/millethead/door/promises.py
+++ b/millethead/door/promises.py
@@ -76,8 +76,11 @@
         number = first + min(HORIZON, floor(ahead / max(rate, 1e-9) / SLOT))
         last = first + HORIZON
         # a slot takes one promise however dear, so that a dear job can be promised at all
-        while (number := self._open(tenant, number)) < last and (
-                taken := self._slots.get((tenant, number), 0.0)) and taken + cost > room:
+        while (
+            (number := self._open(tenant, number)) < last
+            and (taken := self._slots.get((tenant, number), 0.0))
+            and taken + cost > room
+        ):
             if 2 * taken > room:  # the next ones need not look at it again
                 self._full[tenant, number] = number + 1
             number += 1
--- a/millethead/exchange/carry.py
+++ b/millethead/exchange/carry.py
@@ -38,8 +38,13 @@
     if module is None:
         return None
     order = {name: value for name, value in asdict(held.order).items() if name not in ("body", "peer", "plan")}
-    said = {"order": order, "module": module, "came": held.came, "may_have_run": held.record.may_have_run, "attempts": [
-        (a.worker.name, a.sent, a.end, a.earlier_here, a.whole, a.outcome) for a in held.attempts]}
+    said = {
+        "order": order,
+        "module": module,
+        "came": held.came,
+        "may_have_run": held.record.may_have_run,
+        "attempts": [(a.worker.name, a.sent, a.end, a.earlier_here, a.whole, a.outcome) for a in held.attempts],
+    }
     for attempt in out:
         side.let_go(attempt)
         attempt.outcome = Outcome.CANCELLED  # whatever still comes of it here says nothing
@@ -54,26 +59,36 @@
     return said, held.order.body
 
 
-def adopt(exchange: Exchange, side: MovingSide, said: dict[str, Any], body: bytes, peer: tuple[str, int] | None,
-          reply: Reply) -> int:
+def adopt(
+    exchange: Exchange, side: MovingSide, said: dict[str, Any], body: bytes, peer: tuple[str, int] | None, reply: Reply
+) -> int:
     """Take in a job that the process before this one has dropped; returns its number here. `reply` as in `arrive`."""
     now = exchange.clock.now()
     order = Order(**said["order"], body=body, peer=peer)
     exchange._numbers += 1
     number = exchange._numbers
     end = min(float(said["came"]) + order.left, exchange.ends)
-    record = Record(now, may_have_run=bool(said["may_have_run"]), came=float(said["came"]),
-                    attempts=len(said["attempts"]))
+    record = Record(
+        now, may_have_run=bool(said["may_have_run"]), came=float(said["came"]), attempts=len(said["attempts"])
+    )
     held = _Held(number, order, reply, end, record.came, record)
     for n, (name, sent, until, earlier, whole, outcome) in enumerate(said["attempts"]):
         worker = exchange.worker(name) or Worker(crc32(name.encode()), Listed(name, state=WorkerState.GONE), side)
-        attempt = Attempt(order, number, n, worker, sent, until, earlier, whole=whole,
-                          outcome=None if outcome is None else Outcome(outcome))
+        attempt = Attempt(
+            order,
+            number,
+            n,
+            worker,
+            sent,
+            until,
+            earlier,
+            whole=whole,
+            outcome=None if outcome is None else Outcome(outcome),
+        )
         held.attempts.append(attempt)
         if outcome is None:
             held.out += 1
-            attempt.timer = exchange.clock.later(
-                until - now, partial(exchange._give_up, attempt, Outcome.TIMEOUT))
+            attempt.timer = exchange.clock.later(until - now, partial(exchange._give_up, attempt, Outcome.TIMEOUT))
             side.take_over(attempt)
         elif attempt.outcome not in NEVER_RAN:
             record.may_have_run = True
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
-from zlib import crc32
 
 import structlog
 
@@ -33,6 +32,7 @@
 from millethead.exchange.records import WITHDRAWN, Record, Records
 from millethead.exchange.stage import Amendment, Finished, Reply, Unusable, no_plan, one_by_one, repeated
 from millethead.exchange.tally import Tally
+from millethead.exchange.workers import Nowhere, WorkerTable
 
 HELD = 4096  # jobs held at once, with those whose attempts are still out
 BODIES = 32 << 20  # bytes of all bodies held
@@ -59,8 +59,7 @@
     """The last stage. `flows` are put behind those of the tenants, for stages that hold jobs back (`Order.flow`
     counts from 0 through both)."""
 
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock,
-                 flows: tuple[api.Tenant, ...] = ()) -> None:
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, flows: tuple[api.Tenant, ...] = ()) -> None:
         self.settings, self.clock, self.flows = settings, clock, flows
         self._fleet: dict[str, Any] = {}  # what membership says of this node's place, over what the settings do
         self.roster: Roster | None = None
@@ -77,10 +76,7 @@
         self._bodies = 0
         self._records = Records()
         self._held_ids: dict[tuple[str, str], _Held] = {}
-        self._workers: dict[int, Worker] = {}
-        self._names: dict[str, Worker] = {}
-        self._out: set[str] = set()
-        self._fleet_out: frozenset[str] = frozenset()
+        self._workers = WorkerTable()
         self.on_attempt: Callable[[Attempt, api.Outcome, float], None] | None = None  # told of each end, with its ms
         self.on_probe: Callable[[str, api.Outcome], None] | None = None
         self.tally = Tally(len(settings.classes))
@@ -90,7 +86,7 @@
     @property
     def ready(self) -> bool:
         """Whether some worker is known to which work could go."""
-        return not (self.closing or self.leaving) and any(w.open for w in self._workers.values())
+        return not (self.closing or self.leaving) and any(w.open for w in self._workers)
 
     @property
     def held(self) -> int:
@@ -113,8 +109,7 @@
         if known is not None and not self._offered_again(order, known):
             self.tally.final(order.job_class, Final.FAILED)
             return repeated(order, reply)
-        if (self.closing or len(self._jobs) >= HELD or self.held >= self.most
-                or self._bodies + len(order.body) > BODIES):
+        if self.closing or len(self._jobs) >= HELD or self.held >= self.most or self._bodies + len(order.body) > BODIES:
             log.warning("job_not_taken", job=order.id, closing=self.closing, held=len(self._jobs))
             self.tally.final(order.job_class, Final.REFUSED)
             reply(Answer(Final.REFUSED))
@@ -126,9 +121,20 @@
         self._jobs[number] = self._held_ids[name] = held
         self._bodies += len(order.body)
         held.timer = self.clock.later(end - now + OVERDUE, lambda: self._overdue(held))
-        self._feed(api.JobArrived(number, order.job_class, order.left, order.slots, order.memory,
-                                  order.tenant if order.flow is None else order.flow, order.route_key,
-                                  order.expected_work, order.repeat, order.fresh))
+        self._feed(
+            api.JobArrived(
+                number,
+                order.job_class,
+                order.left,
+                order.slots,
+                order.memory,
+                order.tenant if order.flow is None else order.flow,
+                order.route_key,
+                order.expected_work,
+                order.repeat,
+                order.fresh,
+            )
+        )
         return number
 
     def _offered_again(self, order: Order, known: Record) -> bool:
@@ -193,12 +199,12 @@
     # ---- server side -------------------------------------------------------------------------------
 
     def worker(self, name: str) -> Worker | None:
-        return self._names.get(name)
+        return self._workers.named(name)
 
     @property
     def workers(self) -> list[Worker]:
         """All workers that stand in a list now."""
-        return list(self._workers.values())
+        return list(self._workers)
 
     @property
     def down(self) -> int:
@@ -208,72 +214,39 @@
     @property
     def out(self) -> frozenset[str]:
         """The names of workers that an operator has taken out, whether they are listed or not."""
-        return frozenset(self._out)
+        return self._workers.out
 
     def take_out(self, names: Iterable[str]) -> None:
         """Nothing new goes to workers of these names until they are put back, whatever lists say; what stands
         there goes on."""
-        self._by_hand(names, True)
+        self._marked(self._workers.take_out(names))
 
     def put_back(self, names: Iterable[str]) -> None:
-        self._by_hand(names, False)
+        self._marked(self._workers.put_back(names))
 
     def fleet_out(self, names: frozenset[str]) -> None:
         """These, and no others, are out since the fleet has agreed on it; who is out by hand stays out."""
-        changed, self._fleet_out = self._fleet_out ^ names, names
-        self._mark(changed)
-
-    def _by_hand(self, names: Iterable[str], out: bool) -> None:
-        names = list(names)
-        for name in names:
-            (self._out.add if out else self._out.discard)(name)
-        self._mark(names)
-
-    def _is_out(self, name: str) -> bool:
-        return name in self._out or name in self._fleet_out
-
-    def _mark(self, names: Iterable[str]) -> None:
-        entries = []
-        for name in names:
-            worker, out = self._names.get(name), self._is_out(name)
-            if worker is not None and worker.entry.out != out:
-                worker.entry = replace(worker.entry, out=out)
-                entries.append(worker.entry)
+        self._marked(self._workers.fleet_out(names))
+
+    def _marked(self, entries: list[api.WorkerEntry]) -> None:
         if entries:
             self._feed(api.WorkerList(api.ListForm.BY_HAND, tuple(entries)))
 
-    def listed(self, side: ServerSide, form: api.ListForm, lines: Iterable[Listed] = (),
-               within: float = float("inf")) -> None:
+    def listed(
+        self, side: ServerSide, form: api.ListForm, lines: Iterable[Listed] = (), within: float = float("inf")
+    ) -> None:
         """A list, or changes of it, from one server side. A whole list speaks for that side alone. `within`: ms until
         the next call for one begins at the latest."""
-        entries: list[api.WorkerEntry] = []
-        named: set[str] = set()
-        for line in lines:
-            named.add(line.name)
-            worker = self._names.get(line.name)
-            if worker is not None and worker.side is not side:
-                log.warning("worker_name_taken", worker=line.name)
-                continue
-            if worker is None:
-                if line.state is api.WorkerState.GONE:
-                    continue
-                worker = self._workers_new(line, side)
-            elif worker.entry.state is not line.state:
-                log.info("worker_state", worker=line.name, state=line.state.name.lower())
-            worker.take(line, self._is_out(line.name))
-            entries.append(worker.entry)
-            if line.state is api.WorkerState.GONE:
-                self._drop(worker)
-        if form in (api.ListForm.FULL, api.ListForm.CACHED):
-            for worker in list(self._workers.values()):
-                if worker.side is not side:
-                    entries.append(worker.entry)
-                elif worker.name not in named:
-                    self._drop(worker)
-        self._feed(api.WorkerList(form, tuple(entries), within=within))
-
-    def ended(self, attempt: Attempt, outcome: api.Outcome, result: bytes = b"",
-              report: api.Report | None = None, unusable: bool = False) -> None:
+        self._feed(api.WorkerList(form, self._workers.listed(side, form, lines), within=within))
+
+    def ended(
+        self,
+        attempt: Attempt,
+        outcome: api.Outcome,
+        result: bytes = b"",
+        report: api.Report | None = None,
+        unusable: bool = False,
+    ) -> None:
         """An attempt's outcome; only the first that is told counts. `unusable`: the worker finds fault with
         the job itself."""
         if attempt.outcome is not None:
@@ -287,15 +260,23 @@
         if outcome not in api.NEVER_RAN:
             held.record.may_have_run = True
         if outcome is not api.Outcome.OK:
-            log.info("attempt_ended", job=attempt.order.id, attempt=attempt.number,
-                     worker=attempt.worker.name, outcome=outcome.name.lower())
+            log.info(
+                "attempt_ended",
+                job=attempt.order.id,
+                attempt=attempt.number,
+                worker=attempt.worker.name,
+                outcome=outcome.name.lower(),
+            )
         if outcome is api.Outcome.OK and not held.closed:
             self._close(held, Answer(Final.SERVED, result))
         elapsed = self.clock.now() - attempt.sent
         if self.on_attempt is not None:
             self.on_attempt(attempt, outcome, elapsed)
-        self._feed(api.AttemptEnded(attempt.job, attempt.number, attempt.worker.number, outcome, elapsed, held.closed,
-                                    report, unusable))
+        self._feed(
+            api.AttemptEnded(
+                attempt.job, attempt.number, attempt.worker.number, outcome, elapsed, held.closed, report, unusable
+            )
+        )
         self._forget(held)
 
     def written(self, attempt: Attempt) -> None:
@@ -308,8 +289,9 @@
         if attempt.outcome is None:
             self._feed(api.AttemptTaken(attempt.job, attempt.number))
 
-    def probed(self, worker: Worker, outcome: api.Outcome, elapsed: float = 0.0,
-               report: api.Report | None = None) -> None:
+    def probed(
+        self, worker: Worker, outcome: api.Outcome, elapsed: float = 0.0, report: api.Report | None = None
+    ) -> None:
         if self.on_probe is not None:
             self.on_probe(worker.name, outcome)
         self._feed(api.ProbeEnded(worker.number, outcome, elapsed, report))
@@ -345,7 +327,7 @@
             case api.Send():
                 self._send(action)
             case api.Probe(worker=number):
-                worker = self._workers.get(number)
+                worker = self._workers.numbered(number)
                 if worker is not None:
                     worker.side.probe(worker)
             case api.Refuse(job=number, pause=pause):
@@ -366,7 +348,7 @@
                 log.error("action_unknown", action=type(action).__name__)
 
     def _send(self, action: api.Send) -> None:
-        held, worker = self._jobs.get(action.job), self._workers.get(action.worker)
+        held, worker = self._jobs.get(action.job), self._workers.numbered(action.worker)
         if held is None:
             log.error("send_without_job", number=action.job)
             return
@@ -374,16 +356,28 @@
         end = min(held.end, now + action.timeout) if action.timeout else held.end
         if worker is None:
             log.error("send_to_unknown_worker", job=held.order.id, worker=action.worker)
-            worker = Worker(action.worker, Listed("unknown"), _Nowhere())
-        attempt = Attempt(held.order, held.number, len(held.attempts), worker, now, end,
-                          any(a.worker.name == worker.name for a in held.attempts), now + action.within)
+            worker = Worker(action.worker, Listed("unknown"), Nowhere())
+        attempt = Attempt(
+            held.order,
+            held.number,
+            len(held.attempts),
+            worker,
+            now,
+            end,
+            any(a.worker.name == worker.name for a in held.attempts),
+            now + action.within,
+        )
         held.attempts.append(attempt)
         held.out += 1
         held.record.attempts += 1
         effect = self.settings.classes[held.order.job_class].effect
         again = held.record.may_have_run or held.out > 1
-        if held.closed or end <= now or attempt.number >= self.settings.max_attempts or isinstance(
-                worker.side, _Nowhere):
+        if (
+            held.closed
+            or end <= now
+            or attempt.number >= self.settings.max_attempts
+            or isinstance(worker.side, Nowhere)
+        ):
             self.ended(attempt, api.Outcome.NEVER_SENT)
         elif effect is api.Effect.UNSAFE and again:  # the last guard of the rule that matters most
             log.error("unsafe_resend_stopped", job=held.order.id)
@@ -420,8 +414,12 @@
         if answer is not None:
             self.tally.final(held.order.job_class, answer.final)
             if answer.final is not Final.SERVED:
-                log.info("job_" + answer.final.value, job=held.order.id, attempts=len(held.attempts),
-                         after_ms=round(now - held.came))
+                log.info(
+                    "job_" + answer.final.value,
+                    job=held.order.id,
+                    attempts=len(held.attempts),
+                    after_ms=round(now - held.came),
+                )
             if held.reply is not None:
                 held.reply(answer)
         if self.finished is not None:
@@ -443,31 +441,3 @@
         if self.closing and not self._held_ids and self._on_empty is not None:
             call, self._on_empty = self._on_empty, None
             call()
-
-    # ---- workers -----------------------------------------------------------------------------------
-
-    def _workers_new(self, line: Listed, side: ServerSide) -> Worker:
-        """Numbers come from names: every node deals out the turns of a cold worker by them alike."""
-        number = crc32(line.name.encode())
-        while number in self._workers:
-            number = (number + 1) & 0xFFFFFFFF
-        worker = self._workers[number] = self._names[line.name] = Worker(number, line, side, self._is_out(line.name))
-        return worker
-
-    def _drop(self, worker: Worker) -> None:
-        worker.open = False
-        self._workers.pop(worker.number, None)
-        self._names.pop(worker.name, None)
-
-
-class _Nowhere:
-    """Stands in for the side of a worker that no list has named: nothing is ever started there."""
-
-    def start(self, attempt: Attempt) -> None:
-        raise AssertionError("nothing is sent to a worker that no list named")
-
-    def give_up(self, attempt: Attempt) -> None:
-        pass
-
-    def probe(self, worker: Worker) -> None:
-        pass
--- a/millethead/exchange/model.py
+++ b/millethead/exchange/model.py
@@ -109,8 +109,18 @@
     def take(self, listed: Listed, out: bool = False) -> None:
         self.address = listed.address
         self.open = listed.state is WorkerState.READY
-        self.entry = WorkerEntry(self.number, listed.zone, listed.kind, listed.cell, listed.state,
-                                 listed.rating, listed.started, listed.takes, listed.confirms, out)
+        self.entry = WorkerEntry(
+            self.number,
+            listed.zone,
+            listed.kind,
+            listed.cell,
+            listed.state,
+            listed.rating,
+            listed.started,
+            listed.takes,
+            listed.confirms,
+            out,
+        )
 
 
 @dataclass(slots=True, eq=False)
@@ -162,5 +172,20 @@
     def ask(self) -> None: ...
 
 
-__all__ = ["Answer", "Attempt", "Cancellable", "Clock", "Final", "ListForm", "Listed", "Order", "Outcome", "Plan",
-           "Report", "Roster", "ServerSide", "Worker", "WorkerState"]
+__all__ = [
+    "Answer",
+    "Attempt",
+    "Cancellable",
+    "Clock",
+    "Final",
+    "ListForm",
+    "Listed",
+    "Order",
+    "Outcome",
+    "Plan",
+    "Report",
+    "Roster",
+    "ServerSide",
+    "Worker",
+    "WorkerState",
+]
--- a/millethead/exchange/records.py
+++ b/millethead/exchange/records.py
@@ -28,8 +28,13 @@
 
 def ended_unsent(answer: Answer | None, came: float, now: float) -> Record:
     """The outcome of a job that a stage ended before any worker had it (None: it was withdrawn)."""
-    return Record(now, answer.final if answer is not None else None, came=came, ended=True,
-                  state=WITHDRAWN if answer is None else "")
+    return Record(
+        now,
+        answer.final if answer is not None else None,
+        came=came,
+        ended=True,
+        state=WITHDRAWN if answer is None else "",
+    )
 
 
 class Records:
--- a/millethead/flows/ipfix.py
+++ b/millethead/flows/ipfix.py
@@ -27,17 +27,18 @@
 _REST = struct.Struct("!HHBQQBH")
 # (element, length) in the order of a record; the names are IANA's
 _VARIABLE = 65535
-_ENDS = ((7, 2),  # sourceTransportPort
-         (11, 2),  # destinationTransportPort
-         (4, 1),  # protocolIdentifier
-         (231, 8),  # initiatorOctets
-         (232, 8),  # responderOctets
-         (136, 1),  # flowEndReason
-         (459, 2),  # httpStatusCode
-         (96, _VARIABLE))  # applicationName
+_ENDS = (
+    (7, 2),  # sourceTransportPort
+    (11, 2),  # destinationTransportPort
+    (4, 1),  # protocolIdentifier
+    (231, 8),  # initiatorOctets
+    (232, 8),  # responderOctets
+    (136, 1),  # flowEndReason
+    (459, 2),  # httpStatusCode
+    (96, _VARIABLE),
+)  # applicationName
 # flowStartMilliseconds, flowEndMilliseconds, then the source and destination address of that family
-_FIELDS = {IPV4: ((152, 8), (153, 8), (8, 4), (12, 4), *_ENDS),
-           IPV6: ((152, 8), (153, 8), (27, 16), (28, 16), *_ENDS)}
+_FIELDS = {IPV4: ((152, 8), (153, 8), (8, 4), (12, 4), *_ENDS), IPV6: ((152, 8), (153, 8), (27, 16), (28, 16), *_ENDS)}
 # flowEndReason: 3 end of flow detected, 4 forced end, 5 lack of resources
 _MEANING = {Final.SERVED: (3, 200), Final.REFUSED: (5, 503), Final.FAILED: (4, 502), None: (4, 499)}
 
@@ -49,8 +50,9 @@
     return _SET.pack(TEMPLATE_SET, 4 + len(out)) + out
 
 
-def record(order: Order, answer: Answer | None, began: float, ended: float, listen: tuple[str, int],
-           name: str) -> tuple[int, bytes]:
+def record(
+    order: Order, answer: Answer | None, began: float, ended: float, listen: tuple[str, int], name: str
+) -> tuple[int, bytes]:
     """(template, bytes) of one exchange; times are Unix time in ms. Answer None: its client left."""
     source, destination = (ip_address(host) for host in ((order.peer or ("0.0.0.0", 0))[0], listen[0]))
     template = IPV4
@@ -64,8 +66,17 @@
         parts.append(packed)
     reason, status = _MEANING[answer.final if answer is not None else None]
     text = name.encode()[:254]
-    parts.append(_REST.pack((order.peer or ("", 0))[1], listen[1], 6, len(order.body),
-                            len(answer.result) if answer is not None else 0, reason, status))
+    parts.append(
+        _REST.pack(
+            (order.peer or ("", 0))[1],
+            listen[1],
+            6,
+            len(order.body),
+            len(answer.result) if answer is not None else 0,
+            reason,
+            status,
+        )
+    )
     parts.append(bytes([len(text)]) + text)
     return template, b"".join(parts)
 
@@ -73,8 +84,14 @@
 class Exporter:
     """Gathers records in a bounded queue and sends them from the loop; a job never waits for it."""
 
-    def __init__(self, setup: FlowSetup, listen: tuple[str, int], faktory: tuple[str, int] | None,
-                 classes: list[str], wall: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self,
+        setup: FlowSetup,
+        listen: tuple[str, int],
+        faktory: tuple[str, int] | None,
+        classes: list[str],
+        wall: Callable[[], float] = time.time,
+    ) -> None:
         self.setup, self.classes, self.wall = setup, classes, wall
         self.listen = {"http": listen, "faktory": faktory or listen}
         self.sequence = self.dropped = 0
@@ -101,8 +118,16 @@
         if len(self._queue) >= self.setup.queue:
             self._drop(1)
             return
-        self._queue.append(record(order, answer, began, ended, self.listen.get(order.origin,
-                                  self.listen["http"]), self.classes[order.job_class]))
+        self._queue.append(
+            record(
+                order,
+                answer,
+                began,
+                ended,
+                self.listen.get(order.origin, self.listen["http"]),
+                self.classes[order.job_class],
+            )
+        )
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(WAIT, self.flush)
 
@@ -132,15 +157,17 @@
         while self._queue:
             template = self._queue[0][0]
             data = b""
-            while (self._queue and self._queue[0][0] == template and
-                   _HEADER.size + len(sets) + _SET.size + len(data) + len(self._queue[0][1]) <= MESSAGE):
+            while (
+                self._queue
+                and self._queue[0][0] == template
+                and _HEADER.size + len(sets) + _SET.size + len(data) + len(self._queue[0][1]) <= MESSAGE
+            ):
                 data += self._queue.popleft()[1]
                 count += 1
             if not data:
                 break
             sets += _SET.pack(template, _SET.size + len(data)) + data
-        head = _HEADER.pack(VERSION, _HEADER.size + len(sets), int(now) & 0xFFFFFFFF, self.sequence,
-                            self.setup.domain)
+        head = _HEADER.pack(VERSION, _HEADER.size + len(sets), int(now) & 0xFFFFFFFF, self.sequence, self.setup.domain)
         return head + sets, count
 
     def _drop(self, count: int) -> None:
--- a/millethead/fronts/faktory/jobs.py
+++ b/millethead/fronts/faktory/jobs.py
@@ -28,8 +28,7 @@
 
 
 class Jobs:
-    def __init__(self, setup: FaktorySetup, classes: list[str], tenants: list[str],
-                 deadlines: list[float]) -> None:
+    def __init__(self, setup: FaktorySetup, classes: list[str], tenants: list[str], deadlines: list[float]) -> None:
         self.setup, self.class_names, self.deadlines = setup, classes, deadlines
         self.classes = {name: n for n, name in enumerate(classes)}
         self.tenants, self.tenant_names = {name: n for n, name in enumerate(tenants)}, tenants
@@ -56,10 +55,24 @@
         key = custom.get("key", jid)
         if not isinstance(key, str) or not re.fullmatch(r"[!-~]{1,128}", key):
             raise BadCommand("custom.key: 1 to 128 printable characters are wanted")
-        return Order(jid, number, min(timeout * 1000, self.deadlines[number]), tenant, TARGET, body, key,
-                     fresh=True, jobtype=jobtype, queue=queue, origin=ORIGIN, peer=peer,
-                     reserve=1000 * _seconds(job.get("reserve_for"), RESERVE, "reserve_for"),
-                     asked=timeout * 1000, client=client, plan=_plan(job.get("at"), custom))
+        return Order(
+            jid,
+            number,
+            min(timeout * 1000, self.deadlines[number]),
+            tenant,
+            TARGET,
+            body,
+            key,
+            fresh=True,
+            jobtype=jobtype,
+            queue=queue,
+            origin=ORIGIN,
+            peer=peer,
+            reserve=1000 * _seconds(job.get("reserve_for"), RESERVE, "reserve_for"),
+            asked=timeout * 1000,
+            client=client,
+            plan=_plan(job.get("at"), custom),
+        )
 
     def fetched(self, attempt: Attempt, now: float) -> dict[str, Any]:
         """The job as a worker gets it, whichever front it came by."""
@@ -78,8 +91,15 @@
             except UnicodeDecodeError:
                 args, custom["encoding"] = [base64.b64encode(order.body).decode()], "base64"
             custom["target"] = order.target
-        return {"jid": order.id, "jobtype": order.jobtype or name, "queue": order.queue or name, "args": args,
-                "reserve_for": max(1, int(min(left, order.reserve / 1000))), "retry": 0, "custom": custom}
+        return {
+            "jid": order.id,
+            "jobtype": order.jobtype or name,
+            "queue": order.queue or name,
+            "args": args,
+            "reserve_for": max(1, int(min(left, order.reserve / 1000))),
+            "retry": 0,
+            "custom": custom,
+        }
 
     def taken(self, queues: list[str]) -> frozenset[int]:
         """The classes that a worker takes which fetches from these queues."""
@@ -102,8 +122,11 @@
     if fails not in (None, "fail", "run"):
         raise BadCommand("custom.when_parent_fails: run or fail is wanted")
     after = [] if after is None else after
-    if not isinstance(after, list) or len(after) > PARENTS or not all(
-            isinstance(parent, str) and 0 < len(parent) <= 128 for parent in after):
+    if (
+        not isinstance(after, list)
+        or len(after) > PARENTS
+        or not all(isinstance(parent, str) and 0 < len(parent) <= 128 for parent in after)
+    ):
         raise BadCommand(f"custom.after: a list of up to {PARENTS} jids is wanted")
     try:
         return Plan(read_rfc3339(str(at)) if at else 0.0, tuple(dict.fromkeys(after)), fails == "run")
--- a/millethead/fronts/faktory/session.py
+++ b/millethead/fronts/faktory/session.py
@@ -59,9 +59,16 @@
         self.peer, self.client = conn.peer, ""
         self.process: Process | None = None
         self.commands: dict[str, Callable[[str], Awaitable[bytes]]] = {
-            "PUSH": self.push, "PUSHB": self.push_bulk, "FETCH": self.fetch, "ACK": self.ack,
-            "FAIL": self.fail, "BEAT": self.beat, "INFO": self.info, "TRACK": self.track,
-            "MUTATE": self.mutate}
+            "PUSH": self.push,
+            "PUSHB": self.push_bulk,
+            "FETCH": self.fetch,
+            "ACK": self.ack,
+            "FAIL": self.fail,
+            "BEAT": self.beat,
+            "INFO": self.info,
+            "TRACK": self.track,
+            "MUTATE": self.mutate,
+        }
 
     async def run(self) -> None:
         if not await self.greet():
@@ -121,8 +128,9 @@
             hello = resp.read_object(rest)
             if hello.get("v") != 2:
                 raise resp.BadCommand("only version 2 of the protocol is spoken")
-            if password and not hmac.compare_digest(str(hello.get("pwdhash", "")).encode(),
-                                                    password_hash(password, salt, ROUNDS).encode()):
+            if password and not hmac.compare_digest(
+                str(hello.get("pwdhash", "")).encode(), password_hash(password, salt, ROUNDS).encode()
+            ):
                 log.warning("faktory_login_failed", peer=self.conn.peer)
                 raise resp.BadCommand("invalid password")
             wid = hello.get("wid")
@@ -203,11 +211,20 @@
         return resp.bulk(tracked(jid.strip(), self.stage.record(ORIGIN, jid.strip())))
 
     async def info(self, rest: str) -> bytes:
-        return resp.bulk({"server": {"description": "millethead", "faktory_version": __version__,
-                                     "connections": len(self.server.open)},
-                          "faktory": {"tasks": {name.capitalize(): {"size": size}
-                                                for name, size in self.stage.counts().items()},
-                                      "queues": {}, "held": self.stage.held}})
+        return resp.bulk(
+            {
+                "server": {
+                    "description": "millethead",
+                    "faktory_version": __version__,
+                    "connections": len(self.server.open),
+                },
+                "faktory": {
+                    "tasks": {name.capitalize(): {"size": size} for name, size in self.stage.counts().items()},
+                    "queues": {},
+                    "held": self.stage.held,
+                },
+            }
+        )
 
     # ---- workers -------------------------------------------------------------------------------------
 
@@ -240,8 +257,9 @@
     async def ack(self, rest: str) -> bytes:
         process, body = self.worker(), resp.read_object(rest)
         result = body.get("result", "")
-        self.workers.ended(process, read_jid(body), Outcome.OK,
-                           result.encode("utf-8", "replace") if isinstance(result, str) else b"")
+        self.workers.ended(
+            process, read_jid(body), Outcome.OK, result.encode("utf-8", "replace") if isinstance(result, str) else b""
+        )
         return resp.simple("OK")
 
     async def fail(self, rest: str) -> bytes:
@@ -285,8 +303,9 @@
     if not isinstance(chosen, dict) or set(chosen) - {"jids", "jobtype"} or (cmd == "clear" and chosen):
         raise resp.BadCommand("filter: jids and jobtype are known, and none for clear")
     jids, jobtype = chosen.get("jids"), chosen.get("jobtype", "")
-    if not isinstance(jobtype, str) or (jids is not None and not (
-            isinstance(jids, list) and all(isinstance(jid, str) for jid in jids))):
+    if not isinstance(jobtype, str) or (
+        jids is not None and not (isinstance(jids, list) and all(isinstance(jid, str) for jid in jids))
+    ):
         raise resp.BadCommand("filter: jids is a list of jids, jobtype a text")
     if cmd != "clear" and jids is None and not jobtype:
         raise resp.BadCommand("filter: jids or a jobtype are wanted")
@@ -301,7 +320,9 @@
     if record.ended:
         state = "success" if record.final is Final.SERVED else "failed"
     when = datetime.fromtimestamp(record.at / 1000, UTC).isoformat()
-    return {"jid": jid, "state": state, "desc": record.state or (record.final.value if record.final else ""),
-            "updated_at": when}
-
-
+    return {
+        "jid": jid,
+        "state": state,
+        "desc": record.state or (record.final.value if record.final else ""),
+        "updated_at": when,
+    }
--- a/millethead/fronts/faktory/workers.py
+++ b/millethead/fronts/faktory/workers.py
@@ -73,17 +73,18 @@
                 process.running[attempt.order.id] = attempt
                 # past the reservation a worker has no right to the job any more; it may still run there
                 self._timers[attempt] = self.exchange.clock.later(
-                    attempt.order.reserve, lambda: self._end(process, attempt, Outcome.TIMEOUT))
+                    attempt.order.reserve, lambda: self._end(process, attempt, Outcome.TIMEOUT)
+                )
                 waiting.job.set_result(None)  # the session stops waiting: the job is its answer
                 data = resp.bulk(self.jobs.fetched(attempt, self.exchange.clock.now()))
                 # written here and now: what the session answers next must come after the job
-                IOLoop.current().spawn_callback(self._hand_over, process, attempt, waiting.conn,
-                                                waiting.conn.begin(data))
+                IOLoop.current().spawn_callback(
+                    self._hand_over, process, attempt, waiting.conn, waiting.conn.begin(data)
+                )
                 return
         self.exchange.ended(attempt, Outcome.FULL, report=self._report(lane))
 
-    async def _hand_over(self, process: Process, attempt: Attempt, conn: Connection,
-                         written: Awaitable[None]) -> None:
+    async def _hand_over(self, process: Process, attempt: Attempt, conn: Connection, written: Awaitable[None]) -> None:
         try:
             await within(WRITE_TIME, written)
         except (Closed, Late):
@@ -184,8 +185,11 @@
 
     def _list(self, lanes: list[Lane], state: WorkerState) -> None:
         if lanes:
-            self.exchange.listed(self, ListForm.DELTA, [
-                Listed(lane.name, None, self.zone, self.kind, -1, state, takes=lane.takes) for lane in lanes])
+            self.exchange.listed(
+                self,
+                ListForm.DELTA,
+                [Listed(lane.name, None, self.zone, self.kind, -1, state, takes=lane.takes) for lane in lanes],
+            )
 
     def _done(self, process: Process, attempt: Attempt) -> None:
         timer = self._timers.pop(attempt, None)
--- a/millethead/fronts/platform.py
+++ b/millethead/fronts/platform.py
@@ -30,8 +30,15 @@
 
 
 class PlatformFront:
-    def __init__(self, stage: Stage, classes: list[str], tenants: list[str], take: Take,
-                 report: Callable[[str], api.Report | None], client: str = "") -> None:
+    def __init__(
+        self,
+        stage: Stage,
+        classes: list[str],
+        tenants: list[str],
+        take: Take,
+        report: Callable[[str], api.Report | None],
+        client: str = "",
+    ) -> None:
         """`client`: the field that names who hands a job in, if an operator has chosen one."""
         self.client = client.lower()
         # asks other processes of this dispatcher about news: whether it was theirs, None if that cannot be said now
@@ -112,11 +119,25 @@
         cost, cookie = _number(fields.get("x-cost")), _COOKIE.search(fields.get("cookie", ""))
         limit = self.stage.settings.classes[job_class].deadline
         return Order(
-            job_id, job_class, min(left * 1000, limit), tenant, request.target, request.body,
-            once_key, route_key(cookie[1]) if cookie else 0,
-            attrs["slots"] or 1.0, attrs["memory"], None if cost is None else cost / 1000,
-            fields.get("x-retried") == "1", origin="http", peer=conn.peer, asked=left * 1000, waits=True,
-            client=fields.get(self.client, "") if self.client else "", plan=read_plan(fields))
+            job_id,
+            job_class,
+            min(left * 1000, limit),
+            tenant,
+            request.target,
+            request.body,
+            once_key,
+            route_key(cookie[1]) if cookie else 0,
+            attrs["slots"] or 1.0,
+            attrs["memory"],
+            None if cost is None else cost / 1000,
+            fields.get("x-retried") == "1",
+            origin="http",
+            peer=conn.peer,
+            asked=left * 1000,
+            waits=True,
+            client=fields.get(self.client, "") if self.client else "",
+            plan=read_plan(fields),
+        )
 
 
 def read_plan(fields: dict[str, str]) -> Plan | None:
--- a/millethead/members/shell.py
+++ b/millethead/members/shell.py
@@ -16,10 +16,12 @@
 from millethead.config import ConfigError
 from millethead.console.figures import More
 from millethead.logs import Sparing
+from millethead.members.messages import Record, State
 from millethead.members.offices import Office
+from millethead.members.peers import Settings
 from millethead.members.setup import MembersSetup
 from millethead.members.share import UNITS
-from millethead.members.swim import Out, Record, Settings, State, Swim
+from millethead.members.swim import Out, Swim
 from millethead.members.wire import CAUSES, Dropped, Wire
 
 log = structlog.get_logger("members")
@@ -34,18 +36,36 @@
     says why this process takes no clients, with nothing while it does; the others hear whether it does. `office` (s):
     how long a steward lends once its office is confirmed, where the fleet agrees on offices."""
 
-    def __init__(self, setup: MembersSetup, name: str, console: str, seed: int,
-                 on_share: Callable[[float, float, int, int], None], takes: Callable[[], str] = str,
-                 office: float = math.inf) -> None:
+    def __init__(
+        self,
+        setup: MembersSetup,
+        name: str,
+        console: str,
+        seed: int,
+        on_share: Callable[[float, float, int, int], None],
+        takes: Callable[[], str] = str,
+        office: float = math.inf,
+    ) -> None:
         if len(name) > 64:
             raise ConfigError(f"members: a name of at most 64 characters is wanted, not {name!r}")
         self.wire, self.dropped = Wire(setup.key(), setup.fleet), Counter[str](dict.fromkeys(CAUSES, 0))
         host, port = setup.advertise or setup.listen
-        self.me = Record(name, f"{host}:{port}", time.time(), console, setup.serves,
-                         version=setup.version or __version__)
-        self.swim = Swim(self.me, Settings(period=setup.period / 1000, timeout=setup.timeout / 1000,
-                                           window=setup.window / 1000, lease=setup.lease / 1000,
-                                           stewards=tuple(setup.stewards), office=office), time.monotonic(), seed)
+        self.me = Record(
+            name, f"{host}:{port}", time.time(), console, setup.serves, version=setup.version or __version__
+        )
+        self.swim = Swim(
+            self.me,
+            Settings(
+                period=setup.period / 1000,
+                timeout=setup.timeout / 1000,
+                window=setup.window / 1000,
+                lease=setup.lease / 1000,
+                stewards=tuple(setup.stewards),
+                office=office,
+            ),
+            time.monotonic(),
+            seed,
+        )
         self.setup, self.on_share, self._known = setup, on_share, dict[str, tuple[int, int]]()
         self.bytes_sent = 0
         self._takes, self._drains = takes, False
@@ -132,8 +152,12 @@
             except Dropped:  # too large for one datagram: in halves; only the last may want an answer
                 half = len(message.updates) // 2
                 if half:
-                    self._send([(address, self.wire.part(message, message.updates[:half], False)),
-                                (address, self.wire.part(message, message.updates[half:], True))])
+                    self._send(
+                        [
+                            (address, self.wire.part(message, message.updates[:half], False)),
+                            (address, self.wire.part(message, message.updates[half:], True)),
+                        ]
+                    )
                 continue
             self.send_raw(address, data)
 
@@ -155,8 +179,14 @@
             said = (int(peer.state), peer.incarnation)
             if self._known.get(name) != said:
                 self._known[name] = said
-                log.info("member", member=name, state=State(peer.state).name.lower(), incarnation=peer.incarnation,
-                         drains=peer.record.drain, mono=now)
+                log.info(
+                    "member",
+                    member=name,
+                    state=State(peer.state).name.lower(),
+                    incarnation=peer.incarnation,
+                    drains=peer.record.drain,
+                    mono=now,
+                )
         for name in [n for n in self._known if n not in swim.peers]:
             del self._known[name]
         if swim.name_taken and not self._warned:
@@ -184,18 +214,33 @@
         now, swim = time.monotonic(), self.swim
 
         def line(record: Record, state: State, incarnation: int, ago: float) -> dict[str, Any]:
-            return {"name": record.name, "state": state.name.lower(), "incarnation": incarnation,
-                    "address": record.address, "console": record.console, "serves": record.serves,
-                    "version": record.version, "drains": record.drain, "ready": record.ready, "start": record.start,
-                    "heard_s_ago": round(ago, 3)}
+            return {
+                "name": record.name,
+                "state": state.name.lower(),
+                "incarnation": incarnation,
+                "address": record.address,
+                "console": record.console,
+                "serves": record.serves,
+                "version": record.version,
+                "drains": record.drain,
+                "ready": record.ready,
+                "start": record.start,
+                "heard_s_ago": round(ago, 3),
+            }
 
         state = State.ALIVE
-        return {"member": self.me.name, "fleet": self.setup.fleet, "reckons_with": swim.share.fleet,
-                "share": round(swim.units(now) / UNITS, 6), "stewards": list(swim.share.stewards),
-                "health": swim.health,
-                "members": [line(swim.me, state, swim.incarnation, 0.0), *(
-                    line(p.record, State(p.state), p.incarnation, now - p.heard)
-                    for _, p in sorted(swim.peers.items()))]}
+        return {
+            "member": self.me.name,
+            "fleet": self.setup.fleet,
+            "reckons_with": swim.share.fleet,
+            "share": round(swim.units(now) / UNITS, 6),
+            "stewards": list(swim.share.stewards),
+            "health": swim.health,
+            "members": [
+                line(swim.me, state, swim.incarnation, 0.0),
+                *(line(p.record, State(p.state), p.incarnation, now - p.heard) for _, p in sorted(swim.peers.items())),
+            ],
+        }
 
     def figures(self) -> list[More]:
         """(name, type, help, [(label, value of it, count)]) of each figure, for the staff's page."""
@@ -203,12 +248,29 @@
         states = Counter(State(p.state).name.lower() for p in swim.peers.values())
         states["alive"] += 1
         return [
-            ("members", "gauge", "Dispatchers by state, this one included.",
-             [("state", s.name.lower(), states[s.name.lower()]) for s in State]),
-            ("member_events_total", "counter", "Probes, suspicions, refutations, deaths and those that were false.",
-             [("kind", kind, count) for kind, count in swim.counts.items()]),
-            ("member_messages_dropped_total", "counter", "Datagrams of members that were not used, by cause.",
-             [("cause", cause, count) for cause, count in sorted(self.dropped.items())]),
+            (
+                "members",
+                "gauge",
+                "Dispatchers by state, this one included.",
+                [("state", s.name.lower(), states[s.name.lower()]) for s in State],
+            ),
+            (
+                "member_events_total",
+                "counter",
+                "Probes, suspicions, refutations, deaths and those that were false.",
+                [("kind", kind, count) for kind, count in swim.counts.items()],
+            ),
+            (
+                "member_messages_dropped_total",
+                "counter",
+                "Datagrams of members that were not used, by cause.",
+                [("cause", cause, count) for cause, count in sorted(self.dropped.items())],
+            ),
             ("member_bytes_sent_total", "counter", "Bytes sent to other members.", [("", "", self.bytes_sent)]),
-            ("fleet_share", "gauge", "Part of fleet-wide limits that this dispatcher may use now.",
-             [("", "", swim.units(now) / UNITS)])]
+            (
+                "fleet_share",
+                "gauge",
+                "Part of fleet-wide limits that this dispatcher may use now.",
+                [("", "", swim.units(now) / UNITS)],
+            ),
+        ]
--- a/millethead/members/swim.py
+++ b/millethead/members/swim.py
@@ -10,116 +10,24 @@
 
 import math
 import random
-from dataclasses import dataclass, field
-from enum import IntEnum
 
 import msgspec
 
+from millethead.members.dissemination import Dissemination
+from millethead.members.messages import Message, Record, State, Update
 from millethead.members.offices import Offices
+from millethead.members.peers import Peer, Probe, Settings
 from millethead.members.share import Share, Steward
 
-
-class State(IntEnum):
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    LEFT = 3
-
-
-class Record(msgspec.Struct, frozen=True, array_like=True):
-    """What a member says of itself: name, address (host:port where others reach its membership socket), start (Unix
-    time of its process, seconds), console address or empty, what it serves, whether it drains, its version, and whether
-    it takes clients."""
-
-    name: str
-    address: str
-    start: float = 0.0
-    console: str = ""
-    serves: str = ""
-    drain: bool = False
-    version: str = ""
-    ready: bool = False
-
-
-class Update(msgspec.Struct, frozen=True, array_like=True):
-    """A piece of news of one member."""
-
-    record: Record
-    incarnation: int
-    state: int
-    by: str = ""  # who suspects; counts independent confirmations
-
-
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram. kind: ping, ack, nack, ping-req, sync (full state; seq 0 wants an answer), ask, grant, release
-    (shares). `start` tells processes of one name apart; `fleet` is what the sender counts now; `units` are lent."""
-
-    kind: str
-    seq: int
-    sender: str
-    target: str = ""
-    start: float = 0.0
-    fleet: int = 1
-    units: int = 0
-    updates: tuple[Update, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Settings:
-    """Probe period and timeout (s), helpers of an indirect probe, the Lifeguard bounds, window and lease (s)."""
-
-    period: float = 0.5
-    timeout: float = 0.2
-    helpers: int = 3
-    health_most: int = 8
-    alpha: float = 4.0  # suspicion lasts at least alpha * log10(n) periods
-    beta: float = 6.0  # and at most beta times that, without confirmations
-    confirmations: int = 3
-    retransmit: int = 4  # each update rides on retransmit * log10(n + 1) messages
-    riders: int = 6  # updates on one message, and in one part of a full state
-    queue: int = 256
-    most: int = 512  # members known at once
-    window: float = 10.0
-    lease: float = 3.0
-    sync_every: int = 20  # a full push-pull every so many periods
-    seek_every: int = 4  # and one with a member believed dead, who may be behind a cut that has healed
-    stewards: tuple[str, ...] = ()
-    office: float = math.inf  # s for which a steward lends once its office is confirmed; infinite: it keeps it for good
-
-
-@dataclass(slots=True)
-class Peer:
-    record: Record
-    incarnation: int = 0
-    state: State = State.ALIVE
-    since: float = 0.0
-    heard: float = 0.0  # last time it was known alive
-    suspectors: set[str] = field(default_factory=set)
-
-    @property
-    def there(self) -> bool:
-        """Whether it counts as a member: alive, or suspect and not yet believed dead."""
-        return self.state in (State.ALIVE, State.SUSPECT)
-
-
-@dataclass(slots=True)
-class Probe:
-    target: str
-    sent: float
-    asked: int = 0  # helpers that were asked to try; each owes an ack or a nack
-    nacks: int = 0
-    indirect: bool = False
-    relay_for: tuple[str, int] | None = None  # (requester, its seq) when we probe on another's behalf
-
-
 Out = tuple[str, Message]  # (address, message)
 
 
 class Swim:
     """One member's view. `tick` and `receive` return the datagrams to send; nothing here does input or output."""
 
-    def __init__(self, me: Record, settings: Settings, now: float, seed: int = 0,
-                 seeds: tuple[Record, ...] = ()) -> None:
+    def __init__(
+        self, me: Record, settings: Settings, now: float, seed: int = 0, seeds: tuple[Record, ...] = ()
+    ) -> None:
         # one started anew under its old name is newer than whatever was said of the process before it
         self.me, self.settings, self.incarnation, self.health = me, settings, int(me.start * 1000), 0
         self.peers: dict[str, Peer] = {}
@@ -128,7 +36,7 @@
         self.counts = {"probes": 0, "suspicions": 0, "refutations": 0, "deaths": 0, "false_deaths": 0}
         self._random, self._seq, self._order = random.Random(seed), 0, list[str]()
         self._probes: dict[int, Probe] = {}
-        self._news: dict[str, tuple[Update, int]] = {}  # name -> (update, sends left)
+        self._updates = Dissemination(settings.retransmit, settings.queue)
         self._next, self._periods, self._now = now, 0, now
         self._ask_at, self._ticked, self._gone, self._began = now, now, False, now
         self._urgent = False
@@ -215,7 +123,7 @@
             out.append(self._send(target, "ping", self._seq))
             if self._periods % self.settings.sync_every == 0:
                 out += self._full(target.record.address, 0)
-        for peer in self._suspects()[:self.settings.riders]:
+        for peer in self._suspects()[: self.settings.riders]:
             out.append(self._send(peer, "sync", 1))  # who is suspected hears of it while there is time to refute
         if self._periods % self.settings.seek_every == 0:
             dead = [p for p in self.peers.values() if p.state == State.DEAD]
@@ -277,9 +185,14 @@
     def _better(self, sender: Peer, updates: tuple[Update, ...]) -> list[Out]:
         """Of whom the sender thinks ill by older news than this member's: what it has missed, such as a refutation that
         went out as a cut began."""
-        missed = tuple(Update(p.record, p.incarnation, State.ALIVE) for u in updates
-                       if u.state in (State.SUSPECT, State.DEAD) and (p := self.peers.get(u.record.name)) is not None
-                       and p.state == State.ALIVE and p.incarnation > u.incarnation)
+        missed = tuple(
+            Update(p.record, p.incarnation, State.ALIVE)
+            for u in updates
+            if u.state in (State.SUSPECT, State.DEAD)
+            and (p := self.peers.get(u.record.name)) is not None
+            and p.state == State.ALIVE
+            and p.incarnation > u.incarnation
+        )
         return [self._send(sender, "sync", 1, updates=missed)] if missed else []
 
     def _refuted(self, told_by: str) -> list[Out]:
@@ -398,10 +311,12 @@
     def _learn(self, now: float, update: Update) -> None:
         name = update.record.name
         if name == self.me.name:
-            self.name_taken = self.name_taken or (update.record.start != self.me.start
-                                                  and update.state == State.ALIVE and now - self._began > 60)
+            self.name_taken = self.name_taken or (
+                update.record.start != self.me.start and update.state == State.ALIVE and now - self._began > 60
+            )
             if (update.state != State.ALIVE and update.incarnation >= self.incarnation) or (
-                    update.incarnation > self.incarnation):
+                update.incarnation > self.incarnation
+            ):
                 self.incarnation = update.incarnation + 1  # refute: I am alive, with a higher incarnation
                 self._feel(1)
                 self.counts["refutations"] += 1
@@ -424,8 +339,12 @@
             self._set(now, peer, update.incarnation, State.SUSPECT, update.by)
         elif update.state == State.SUSPECT and same and peer.state == State.SUSPECT:
             self._confirm(peer, update.by)
-        elif (update.state in (State.DEAD, State.LEFT) and (newer or same) and peer.state != update.state
-              and not (same and peer.state == State.LEFT)):
+        elif (
+            update.state in (State.DEAD, State.LEFT)
+            and (newer or same)
+            and peer.state != update.state
+            and not (same and peer.state == State.LEFT)
+        ):
             self._set(now, peer, update.incarnation, State(update.state))
 
     def _room(self) -> bool:
@@ -438,27 +357,36 @@
         return bool(gone)
 
     def _spread(self, update: Update) -> None:
-        sends = max(1, round(self.settings.retransmit * math.log10(len(self.peers) + 2)))
-        self._news.pop(update.record.name, None)
-        self._news[update.record.name] = (update, sends)
-        while len(self._news) > self.settings.queue:  # bounded: the oldest news goes first
-            self._news.pop(next(iter(self._news)))
+        self._updates.add(update, len(self.peers))
 
     def _full(self, address: str, seq: int) -> list[Out]:
         """All that is known, in parts that fit a datagram; the last one asks for an answer where `seq` is 0."""
-        all_news = [Update(self.me, self.incarnation, State.ALIVE),
-                    *(Update(p.record, p.incarnation, p.state) for p in self.peers.values())]
+        all_news = [
+            Update(self.me, self.incarnation, State.ALIVE),
+            *(Update(p.record, p.incarnation, p.state) for p in self.peers.values()),
+        ]
         step = self.settings.riders
-        parts = [tuple(all_news[at:at + step]) for at in range(0, len(all_news), step)]
-        return [(address, self._message("sync", seq if n == len(parts) - 1 else 1, updates=part))
-                for n, part in enumerate(parts)]
-
-    def _message(self, kind: str, seq: int, target: str = "", units: int = 0, fleet: int = 0,
-                 updates: tuple[Update, ...] = ()) -> Message:
+        parts = [tuple(all_news[at : at + step]) for at in range(0, len(all_news), step)]
+        return [
+            (address, self._message("sync", seq if n == len(parts) - 1 else 1, updates=part))
+            for n, part in enumerate(parts)
+        ]
+
+    def _message(
+        self, kind: str, seq: int, target: str = "", units: int = 0, fleet: int = 0, updates: tuple[Update, ...] = ()
+    ) -> Message:
         return Message(kind, seq, self.me.name, target, self.me.start, fleet or self.counted(), units, updates)
 
-    def _send(self, peer: Peer, kind: str, seq: int, target: str = "", units: int = 0, fleet: int = 0,
-              updates: tuple[Update, ...] | None = None) -> Out:
+    def _send(
+        self,
+        peer: Peer,
+        kind: str,
+        seq: int,
+        target: str = "",
+        units: int = 0,
+        fleet: int = 0,
+        updates: tuple[Update, ...] | None = None,
+    ) -> Out:
         if updates is None:
             riding = []
             if peer.state != State.ALIVE:  # who is thought ill is told so first: it can refute at once
@@ -469,11 +397,6 @@
             for about in self._random.sample(ill, min(len(ill), self.settings.riders // 2)):
                 by = self.me.name if self.me.name in about.suspectors else min(about.suspectors, default="")
                 riding.append(Update(about.record, about.incarnation, State.SUSPECT, by))
-            for name, (update, left) in list(self._news.items())[:self.settings.riders - len(riding)]:
-                riding.append(update)
-                if left <= 1:
-                    del self._news[name]
-                else:
-                    self._news[name] = (update, left - 1)
+            riding += self._updates.take(self.settings.riders - len(riding))
             updates = tuple(riding)
         return peer.record.address, self._message(kind, seq, target, units, fleet, updates)
--- a/millethead/members/wire.py
+++ b/millethead/members/wire.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from millethead.members.messages import Message, Update
 from millethead.members.setup import LEAST_KEY
-from millethead.members.swim import Message, Update
 
 VERSION = b"MH1"
 MOST = 1400  # bytes: one datagram that crosses a usual path unsplit
@@ -51,7 +51,7 @@
             raise Dropped("torn")
         if data[: len(self.mark)] != self.mark:
             raise Dropped("version")
-        mac, body = data[len(self.mark): len(self.mark) + _DIGEST], data[len(self.mark) + _DIGEST:]
+        mac, body = data[len(self.mark) : len(self.mark) + _DIGEST], data[len(self.mark) + _DIGEST :]
         if not hmac.compare_digest(mac, hmac.new(self._key, self._fleet + body, hashlib.sha256).digest()):
             raise Dropped("key")
         try:
--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -26,6 +26,7 @@
     Late,
     within,
 )
+from millethead.net.listener import drop_connection_requests
 from millethead.net.parse import BadMessage, Request, parse_request, read_body, read_head
 from millethead.net.pool import READ_BUFFER
 
@@ -49,8 +50,7 @@
 
     __slots__ = ("body", "fields", "job", "status")
 
-    def __init__(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None,
-                 job: bool = False) -> None:
+    def __init__(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None, job: bool = False) -> None:
         self.status, self.body, self.fields, self.job = status, body, fields or {}, job
 
 
@@ -171,6 +171,7 @@
         """Close the connection that is missed least; False if there is none. Those that never brought a whole
         request go first: many that only connect must not push out usual clients (who keep theirs idle), nor
         one whose request waits to be read. Of usual ones, those that are in the middle of a request come last."""
+
         def rank(conn: Connection) -> tuple[int, bool, float]:
             who, since = self.idle[conn]
             return who, conn.midway or bool(len(conn.buffer)), since
@@ -188,6 +189,7 @@
         """Close the listener, and answer whoever came before that, for so long at most. The system resets what stands
         in the queue of a listener that is closed, so that is taken first; one that is paused is another's to take."""
         for listener in () if self.paused else list(self._sockets.values()):
+            drop_connection_requests(listener)
             for _ in range(BACKLOG):
                 try:
                     if not self._accept(listener):
@@ -221,8 +223,9 @@
         """Seconds from connecting to the end of the first request."""
         return FIRST_TIME
 
-    def adopt(self, sock: socket.socket, rank: int, data: bytes = b"", keeps: bool = True,
-              owed: Owed | None = None) -> None:
+    def adopt(
+        self, sock: socket.socket, rank: int, data: bytes = b"", keeps: bool = True, owed: Owed | None = None
+    ) -> None:
         """Go on with a connection that the process before this one had: `data` was read and not used; `owed` gives
         the reply to a request that was."""
         stream = IOStream(sock, max_buffer_size=READ_BUFFER, max_write_buffer_size=WRITE_BUFFER)
@@ -251,7 +254,7 @@
             keep = conn.keeps and not self.closing and faults < FAULTS
             message = format_answer(reply.status, reply.body, reply.fields, keep)
             if method == "HEAD":  # its answer has no body, whatever length it tells
-                message = message[:len(message) - len(reply.body)]
+                message = message[: len(message) - len(reply.body)]
             await send_answer(conn, message)
             if not keep:
                 return
--- a/millethead/net/answer.py
+++ b/millethead/net/answer.py
@@ -9,8 +9,7 @@
 WRITE_TIME = 10.0  # s for a peer to take an answer
 
 
-def format_answer(status: int, body: bytes = b"", fields: dict[str, str] | None = None,
-                  keep: bool = True) -> bytes:
+def format_answer(status: int, body: bytes = b"", fields: dict[str, str] | None = None, keep: bool = True) -> bytes:
     lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
     if status != 204:
         lines.append(f"Content-Length: {len(body)}")
--- a/millethead/net/buffer.py
+++ b/millethead/net/buffer.py
@@ -21,24 +21,24 @@
     def room(self) -> memoryview:
         """Free space to read into; the caller says with `filled` how much of it was used."""
         if self._start:
-            self._data[:len(self)] = self._data[self._start:self._end]
+            self._data[: len(self)] = self._data[self._start : self._end]
             self._start, self._end = 0, len(self)
         if self._end == len(self._data):
             if self._end >= MOST:
                 raise OverflowError("the buffer of a connection is full")
             # a new block: the old one may still be lent out as a view, and such a block cannot be resized
             grown = bytearray(min(MOST, 2 * len(self._data)))
-            grown[:self._end] = self._data
+            grown[: self._end] = self._data
             self._data = grown
-        return memoryview(self._data)[self._end:]
+        return memoryview(self._data)[self._end :]
 
     def put(self, data: bytes) -> None:
         """Bytes that came another way."""
         while data:
-            room = self.room()[:len(data)]
-            room[:] = data[:len(room)]
+            room = self.room()[: len(data)]
+            room[:] = data[: len(room)]
             self.filled(len(room))
-            data = data[len(room):]
+            data = data[len(room) :]
 
     def filled(self, count: int) -> None:
         self._end += count
@@ -49,7 +49,7 @@
         return at if at < 0 else at - self._start
 
     def peek(self, count: int) -> bytes:
-        return bytes(self._data[self._start:min(self._end, self._start + count)])
+        return bytes(self._data[self._start : min(self._end, self._start + count)])
 
     def take(self, count: int) -> bytes:
         out = self.peek(count)
--- a/millethead/net/connection.py
+++ b/millethead/net/connection.py
@@ -45,8 +45,19 @@
 
     One read at most is under way, whether somebody waits for it or not."""
 
-    __slots__ = ("_ahead", "_reading", "_waiter", "buffer", "ending", "handed", "idle_since", "job", "keeps",
-                 "midway", "stream")
+    __slots__ = (
+        "_ahead",
+        "_reading",
+        "_waiter",
+        "buffer",
+        "ending",
+        "handed",
+        "idle_since",
+        "job",
+        "keeps",
+        "midway",
+        "stream",
+    )
 
     def __init__(self, stream: IOStream) -> None:
         self.stream, self.buffer = stream, Buffer()
@@ -71,8 +82,9 @@
         """Read at least one byte; raises Closed at the end of the stream, Interrupted if somebody wants it to end. A
         reader that gives up waiting leaves the read under way, and the buffer alone until it reads again."""
         if self._reading is None:
-            self._await(cast("asyncio.Future[int]", self.stream.read_into(
-                cast(bytearray, self.buffer.room()), partial=True)))
+            self._await(
+                cast("asyncio.Future[int]", self.stream.read_into(cast(bytearray, self.buffer.room()), partial=True))
+            )
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
@@ -159,8 +171,7 @@
 
     def wants_more(self) -> bool:
         """Whether its reader has looked at all that came and waits: what lies in the buffer is a part of a message."""
-        return (self._waiter is not None and not self._waiter.done() and self.stream.reading()
-                and self._socket_empty())
+        return self._waiter is not None and not self._waiter.done() and self.stream.reading() and self._socket_empty()
 
     def gone(self) -> bool:
         """Whether the peer has closed its side with nothing unread before that."""
--- a/millethead/net/discovery.py
+++ b/millethead/net/discovery.py
@@ -37,8 +37,7 @@
 # found discovery busy or gone, since a whole list costs it as much as several watches, and all nodes would ask at once
 ASK_AFTER = 2
 PAUSE, PAUSE_MOST = 0.25, 1.0  # s before asking, by failures: a list that came must not start a tight loop
-STATES = {"in_service": WorkerState.READY, "terminating": WorkerState.DRAINING,
-          "terminated": WorkerState.GONE}
+STATES = {"in_service": WorkerState.READY, "terminating": WorkerState.DRAINING, "terminated": WorkerState.GONE}
 
 
 class BadList(Exception):
@@ -90,9 +89,17 @@
                 raise BadList("an entry without name or address")
             if not isinstance(cell, int) or cell < 0 or not math.isfinite(weight + started) or started < 0:
                 raise BadList("an entry with impossible figures")
-            return Listed(name, (host.strip("[]"), int(port)), self.zones.get(raw["zone"], len(self.zones)),
-                          self.kinds.get(raw["type"], len(self.kinds)), cell, state, weight, started,
-                          confirms=True)
+            return Listed(
+                name,
+                (host.strip("[]"), int(port)),
+                self.zones.get(raw["zone"], len(self.zones)),
+                self.kinds.get(raw["type"], len(self.kinds)),
+                cell,
+                state,
+                weight,
+                started,
+                confirms=True,
+            )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise BadList(f"an entry that cannot be read: {error!r}") from None
 
@@ -109,8 +116,15 @@
 class Discovery:
     """The exchange's roster. The module says when to watch; a watch that ends is told as a failed list."""
 
-    def __init__(self, exchange: Exchange, side: ServerSide, address: Address, names: Names, terms: ListTerms,
-                 path: str = "/discovery/hosts") -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        side: ServerSide,
+        address: Address,
+        names: Names,
+        terms: ListTerms,
+        path: str = "/discovery/hosts",
+    ) -> None:
         self.exchange, self.side, self.address, self.names, self.path = exchange, side, address, names, path
         self.terms = terms
         self._sign = time.monotonic()  # s: when discovery was last heard of, or a call to it began
@@ -197,13 +211,19 @@
 
     async def _call(self, query: str) -> Connection:
         self._sign = time.monotonic()
-        stream = IOStream(socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET),
-                          max_buffer_size=READ_BUFFER, max_write_buffer_size=WRITE_BUFFER)
+        stream = IOStream(
+            socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET),
+            max_buffer_size=READ_BUFFER,
+            max_write_buffer_size=WRITE_BUFFER,
+        )
         try:
             await within(self.terms.connect, cast(Awaitable[IOStream], stream.connect(self.address)))
             conn = Connection(stream)
-            await conn.write(f"GET {self.path}{query} HTTP/1.1\r\n"
-                             f"Host: {self.address[0]}:{self.address[1]}\r\n\r\n".encode("latin-1"))
+            await conn.write(
+                f"GET {self.path}{query} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n\r\n".encode(
+                    "latin-1"
+                )
+            )
             return conn
         except BaseException:
             stream.close()
--- a/millethead/net/exchange.py
+++ b/millethead/net/exchange.py
@@ -60,8 +60,9 @@
     return await answer_of(stage, conn, stage.arrive(order, settle), future)
 
 
-async def answer_of(stage: Stage, conn: Connection, number: int,
-                    future: asyncio.Future[Answer | None]) -> Answer | None:
+async def answer_of(
+    stage: Stage, conn: Connection, number: int, future: asyncio.Future[Answer | None]
+) -> Answer | None:
     """Wait for the answer of a job that was handed in (0: it has it already)."""
     conn.job = number
 
--- a/millethead/net/news.py
+++ b/millethead/net/news.py
@@ -31,8 +31,7 @@
         raise BadMessage(400, "news without id, from or state")
     if not isinstance(result, str) or not (load is None or isinstance(load, dict)):
         raise BadMessage(400, "news with a result or load of the wrong kind")
-    found = take(job_id, worker, state, result.encode("utf-8", "replace"),
-                 report(json.dumps(load)) if load else None)
+    found = take(job_id, worker, state, result.encode("utf-8", "replace"), report(json.dumps(load)) if load else None)
     if not found and last:
         log.info("news_of_no_attempt", job=job_id, worker=worker, state=state)
     return found
--- a/millethead/net/pool.py
+++ b/millethead/net/pool.py
@@ -69,8 +69,9 @@
 
     async def _connect(self, address: Address) -> Connection:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        stream = IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=READ_BUFFER,
-                          max_write_buffer_size=WRITE_BUFFER)
+        stream = IOStream(
+            socket.socket(family, socket.SOCK_STREAM), max_buffer_size=READ_BUFFER, max_write_buffer_size=WRITE_BUFFER
+        )
         self.open += 1
         stream.set_close_callback(self._closed)
         try:
@@ -113,4 +114,3 @@
         for waiting in list(self._idle.values()):
             for conn in [c for c in waiting if now - c.idle_since >= self.idle_s]:
                 conn.close()
-
--- a/millethead/net/send.py
+++ b/millethead/net/send.py
@@ -26,8 +26,7 @@
 class HttpWorkers:
     """Reaches the workers that discovery lists, and tells the exchange how attempts end. Decides nothing."""
 
-    def __init__(self, exchange: Exchange, pool: Pool, probes: Probes,
-                 report: Callable[[str], Report | None]) -> None:
+    def __init__(self, exchange: Exchange, pool: Pool, probes: Probes, report: Callable[[str], Report | None]) -> None:
         self.exchange, self.pool, self.probes, self.report = exchange, pool, probes, report
         self._running: dict[tuple[str, str], Attempt] = {}
         self._cancels: dict[tuple[str, str], asyncio.Future[None]] = {}  # under way, by job's id and worker
@@ -55,8 +54,11 @@
 
     def movable(self, attempt: Attempt) -> bool:
         """Whether only news can end it, wherever that comes in: the worker has said 202."""
-        return attempt.whole and attempt.channel is None and self._running.get(
-            (attempt.order.id, attempt.worker.name)) is attempt
+        return (
+            attempt.whole
+            and attempt.channel is None
+            and self._running.get((attempt.order.id, attempt.worker.name)) is attempt
+        )
 
     def let_go(self, attempt: Attempt) -> None:
         """Another process waits for it from now on."""
@@ -141,8 +143,11 @@
     def _may_go(self, attempt: Attempt) -> bool:
         """Whether the job may still be sent on: nobody has given the attempt up, nor has earlier news ended it, its
         worker takes new work, and a repeat is still dropped there if an earlier attempt has run."""
-        return (attempt.outcome is None and attempt.worker.wanted
-                and self.exchange.clock.now() < min(attempt.end, attempt.begin_by))
+        return (
+            attempt.outcome is None
+            and attempt.worker.wanted
+            and self.exchange.clock.now() < min(attempt.end, attempt.begin_by)
+        )
 
     def _answered(self, attempt: Attempt, response: Response) -> None:
         if response.status == 202:
@@ -153,8 +158,7 @@
         if response.status in (503, 504) and response.fields.get("x-not-processed") == "1":
             outcome = Outcome.FULL
         elif response.status not in (500, 503, 504):
-            log.warning("worker_answer_odd", worker=attempt.worker.name, status=response.status,
-                        job=attempt.order.id)
+            log.warning("worker_answer_odd", worker=attempt.worker.name, status=response.status, job=attempt.order.id)
         self._end(attempt, outcome, report=self.report(text) if text else None, unusable=unusable)
 
     def _done(self, attempt: Attempt) -> None:
@@ -162,8 +166,14 @@
         if self._running.get(name) is attempt:
             del self._running[name]
 
-    def _end(self, attempt: Attempt, outcome: Outcome, result: bytes = b"",
-             report: Report | None = None, unusable: bool = False) -> None:
+    def _end(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        result: bytes = b"",
+        report: Report | None = None,
+        unusable: bool = False,
+    ) -> None:
         self._done(attempt)
         self.exchange.ended(attempt, outcome, result, report, unusable)
 
@@ -198,9 +208,13 @@
             # one that is sent there anew meanwhile waits for this: the id would name that one too
             conn = await self.pool.take(address)
             try:
-                await within(CANCEL_TIME, conn.write(
-                    f"DELETE /jobs/{attempt.order.id} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
-                    "Content-Length: 0\r\n\r\n".encode("latin-1")))
+                await within(
+                    CANCEL_TIME,
+                    conn.write(
+                        f"DELETE /jobs/{attempt.order.id} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
+                        "Content-Length: 0\r\n\r\n".encode("latin-1")
+                    ),
+                )
                 response = await within(CANCEL_TIME, read_response(conn))
                 self.pool.give_back(address, conn, response.keep)
             except (Closed, Late, BadMessage, OverflowError):
@@ -215,9 +229,13 @@
 def format_attempt(attempt: Attempt, left: float) -> bytes:
     """The request; `left`: s that its worker has."""
     order, address = attempt.order, attempt.worker.address or ("", 0)
-    lines = [f"POST {order.target} HTTP/1.1", f"Host: {address[0]}:{address[1]}",
-             f"X-Request-ID: {order.id}", f"X-Timeout: {max(0.001, left):.3f}",
-             f"Content-Length: {len(order.body)}"]
+    lines = [
+        f"POST {order.target} HTTP/1.1",
+        f"Host: {address[0]}:{address[1]}",
+        f"X-Request-ID: {order.id}",
+        f"X-Timeout: {max(0.001, left):.3f}",
+        f"Content-Length: {len(order.body)}",
+    ]
     if order.once_key:
         lines.append(f"Idempotency-Key: {order.once_key}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + order.body
--- a/millethead/operators.py
+++ b/millethead/operators.py
@@ -59,12 +59,12 @@
             waiting_setup(raw["waiting"], classes) if "waiting" in raw else None,
             read_table(raw["door"], DoorSetup, "door") if "door" in raw else None,
             _members(raw["members"]) if "members" in raw else None,
-            _rollout(raw["rollout"]) if "rollout" in raw else None)
+            _rollout(raw["rollout"]) if "rollout" in raw else None,
+        )
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-
 def _members(raw: object) -> MembersSetup:
     from millethead.members.setup import members_setup
 
--- a/millethead/program.py
+++ b/millethead/program.py
@@ -57,8 +57,13 @@
 
 
 class Program:
-    def __init__(self, config: Config, operator: Operator | None = None,
-                 load: Callable[[], Config] = load_config, clock: LoopClock | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        operator: Operator | None = None,
+        load: Callable[[], Config] = load_config,
+        clock: LoopClock | None = None,
+    ) -> None:
         self.config, self.operator, self.load = config, operator or Operator(), load
         clock = clock or LoopClock()
         family = config.info.get("family_info") or {}
@@ -85,11 +90,16 @@
         self.pool = Pool(0, *_times(config))
         self.workers = HttpWorkers(self.exchange, self.pool, Probes(self.exchange, self.pool, report), report)
         names = Names(config.names("azs"), config.names("kinds"))
-        self.discovery = Discovery(self.exchange, self.workers, config.discovery, names,
-                                   list_terms(config.settings))
+        self.discovery = Discovery(self.exchange, self.workers, config.discovery, names, list_terms(config.settings))
         self.exchange.roster = self.discovery
-        front = self.front = PlatformFront(self.stage, config.names("classes"), config.names("tenants"),
-                              self.workers.news, report, door.header if door is not None else "")
+        front = self.front = PlatformFront(
+            self.stage,
+            config.names("classes"),
+            config.names("tenants"),
+            self.workers.news,
+            report,
+            door.header if door is not None else "",
+        )
         setup = self.operator.faktory
         self.faktory: FaktoryServer | None = None
         room = self._share_sockets(config.sockets)
@@ -98,18 +108,21 @@
             from millethead.fronts.faktory.session import FaktoryServer
             from millethead.fronts.faktory.workers import FaktoryWorkers
 
-            jobs = Jobs(setup, config.names("classes"), config.names("tenants"),
-                        [c.deadline for c in config.settings.classes])
-            fetchers = FaktoryWorkers(self.exchange, jobs, names.zones.get(setup.zone, 0),
-                                      names.kinds.get(setup.kind, len(names.kinds)))
+            jobs = Jobs(
+                setup, config.names("classes"), config.names("tenants"), [c.deadline for c in config.settings.classes]
+            )
+            fetchers = FaktoryWorkers(
+                self.exchange, jobs, names.zones.get(setup.zone, 0), names.kinds.get(setup.kind, len(names.kinds))
+            )
             self.faktory = FaktoryServer(self.stage, jobs, fetchers, config.sockets * 6 // 10 - room)
         self.acceptor = Acceptor(front.serve, room)
         self.flows: Exporter | None = None
         if self.operator.flows is not None:
             from millethead.flows.ipfix import Exporter
 
-            self.flows = Exporter(self.operator.flows, config.listen, setup.listen if setup else None,
-                                  config.names("classes"))
+            self.flows = Exporter(
+                self.operator.flows, config.listen, setup.listen if setup else None, config.names("classes")
+            )
             self.stage.finished = self.flows.finished
         self.console: Console | None = None
         self.members: Members | None = None
@@ -125,12 +138,28 @@
 
             folder, whose = Path(gettempdir()), config.whose
             self.succession = Succession(
-                folder, config.name, whose, clock, self.exchange, self.workers, self.discovery, self.acceptor,
-                front.resume, lambda body: read_news(body, report, self.workers.news, last=False), self._share_with,
-                self.stage is self.exchange)
+                folder,
+                config.name,
+                whose,
+                clock,
+                self.exchange,
+                self.workers,
+                self.discovery,
+                self.acceptor,
+                front.resume,
+                lambda body: read_news(body, report, self.workers.news, last=False),
+                self._share_with,
+                self.stage is self.exchange,
+            )
             front.elsewhere = self.succession.elsewhere
-            self.desk = FrontDesk(self.exchange, self.stage, config.names("classes"),
-                                  OutFile(folder, config.name, whose), self.takes, self.succession.tell_out)
+            self.desk = FrontDesk(
+                self.exchange,
+                self.stage,
+                config.names("classes"),
+                OutFile(folder, config.name, whose),
+                self.takes,
+                self.succession.tell_out,
+            )
             self.console = Console(Calls(self.desk), CALLERS)
             self.desk.more.append(front.figures)
             if door is not None:
@@ -169,9 +198,15 @@
             from millethead.members.shell import Members
 
             console = self.config.console
-            self.members = Members(self.operator.members, self.config.name, f"{console[0]}:{console[1]}" if console
-                                   else "", self.config.seed, self._in_fleet, self.takes,
-                                   self.operator.rollout.office / 1000 if self.operator.rollout else math.inf)
+            self.members = Members(
+                self.operator.members,
+                self.config.name,
+                f"{console[0]}:{console[1]}" if console else "",
+                self.config.seed,
+                self._in_fleet,
+                self.takes,
+                self.operator.rollout.office / 1000 if self.operator.rollout else math.inf,
+            )
             if self.desk is not None and self.console is not None:
                 from millethead.members.calls import members_call
 
@@ -250,8 +285,11 @@
 
     def takes(self) -> str:
         """Why no clients are taken; empty when they are."""
-        return "" if self.serving.is_set() and self.stage.ready else (
-            "it leaves" if self._leaving is not None else "no booking worker is known yet")
+        return (
+            ""
+            if self.serving.is_set() and self.stage.ready
+            else ("it leaves" if self._leaving is not None else "no booking worker is known yet")
+        )
 
     def reload(self) -> None:
         """SIGHUP: read the configuration anew. What cannot change in service waits for a restart; a file
@@ -262,16 +300,24 @@
         except ConfigError as error:
             log.error("reload_failed", why=str(error))
             return
-        fixed = [what for what, differs in (
-            ("name", new.name != old.name), ("listen", new.listen != old.listen),
-            ("console", new.console != old.console),
-            *((key, new.names(key) != old.names(key)) for key in NAMED),
-            *((key, new.info.get(key) != old.info.get(key)) for key in ("zone", "self_index", "balancers",
-                                                                        "membership_mode", "report")),
-            ("family_info", report_fields(new.info) != report_fields(old.info)),
-        ) if differs]
-        log.info("reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}",
-                 needs_restart=",".join(fixed) or "nothing")
+        fixed = [
+            what
+            for what, differs in (
+                ("name", new.name != old.name),
+                ("listen", new.listen != old.listen),
+                ("console", new.console != old.console),
+                *((key, new.names(key) != old.names(key)) for key in NAMED),
+                *(
+                    (key, new.info.get(key) != old.info.get(key))
+                    for key in ("zone", "self_index", "balancers", "membership_mode", "report")
+                ),
+                ("family_info", report_fields(new.info) != report_fields(old.info)),
+            )
+            if differs
+        ]
+        log.info(
+            "reloaded", discovery=f"{new.discovery[0]}:{new.discovery[1]}", needs_restart=",".join(fixed) or "nothing"
+        )
         if fixed:  # what comes next is held against what is in force, and not against this one
             new = replace(old, discovery=new.discovery, sockets=new.sockets)
         elif new.settings != old.settings:
--- a/millethead/rollout/calls.py
+++ b/millethead/rollout/calls.py
@@ -82,9 +82,14 @@
     """path -> (method, what answers it)"""
     desk = FleetDesk(rollout)
     posts: dict[str, Callable[[Any], Awaitable[State]]] = {
-        "/fleet/drain": desk.drain, "/fleet/release": desk.release, "/fleet/halt": desk.halt,
-        "/fleet/resume": desk.resume, "/fleet/undo": desk.undo, "/fleet/voters": desk.voters,
-        "/fleet/stewards": desk.stewards}
+        "/fleet/drain": desk.drain,
+        "/fleet/release": desk.release,
+        "/fleet/halt": desk.halt,
+        "/fleet/resume": desk.resume,
+        "/fleet/undo": desk.undo,
+        "/fleet/voters": desk.voters,
+        "/fleet/stewards": desk.stewards,
+    }
     return {"/fleet": ("GET", desk.page), **{path: ("POST", partial(desk.post, do)) for path, do in posts.items()}}
 
 
@@ -140,8 +145,11 @@
         if len(set(names)) < len(names) or len(names) > MOST_NAMED:
             raise ConfigError(f"release.steps: each member once, and at most {MOST_NAMED} in all, is wanted")
         workers = rollout.host.workers()
-        known = set(self._dispatchers()) if plan.version else {
-            name for name, (kind, _) in workers.items() if kind == plan.pool}
+        known = (
+            set(self._dispatchers())
+            if plan.version
+            else {name for name, (kind, _) in workers.items() if kind == plan.pool}
+        )
         if strangers := [name for name in names if name not in known]:
             what = "dispatcher is there" if plan.version else f"booking worker of the type {plan.pool!r} is listed"
             raise Unknown(f"release.steps: no {what} with the name {', '.join(strangers)}")
@@ -150,8 +158,9 @@
             raise Refused(f"no slot: max_out of {group} is 0")
         limits = Health(plan.health.errors, plan.health.refusals, plan.health.slower, plan.health.least)
         back = rollout.setup.back / 1000 if plan.back_s is None else plan.back_s
-        release = Release(0, group, plan.version, tuple(tuple(s) for s in plan.steps), plan.max_out, plan.soak_s, back,
-                          limits)
+        release = Release(
+            0, group, plan.version, tuple(tuple(s) for s in plan.steps), plan.max_out, plan.soak_s, back, limits
+        )
         return await rollout.change(lambda s: agreed.start(s, release))
 
     async def halt(self, raw: Any) -> State:
--- a/millethead/rollout/driver.py
+++ b/millethead/rollout/driver.py
@@ -45,8 +45,14 @@
             return []
         return [(f"the part of {gone} goes to {heir}", partial(agreed.replace_steward, old=gone, new=heir))]
 
-    def tick(self, now: float, state: State, views: Mapping[str, View], most: Callable[[str], int],
-             unhealthy: Callable[[Release], str]) -> list[tuple[str, Change]]:
+    def tick(
+        self,
+        now: float,
+        state: State,
+        views: Mapping[str, View],
+        most: Callable[[str], int],
+        unhealthy: Callable[[Release], str],
+    ) -> list[tuple[str, Change]]:
         """The changes to try now, in order, each with a word for the log."""
         changes: list[tuple[str, Change]] = []
         for slot in state.slots:
@@ -73,25 +79,37 @@
         self._slow.clear()
         self._soak = None
 
-    def _steps(self, now: float, state: State, release: Release, views: Mapping[str, View],
-               most: Callable[[str], int]) -> list[tuple[str, Change]]:
+    def _steps(
+        self, now: float, state: State, release: Release, views: Mapping[str, View], most: Callable[[str], int]
+    ) -> list[tuple[str, Change]]:
         if agreed.step_over(state):
             if self._soak is None or self._soak[:2] != (release.id, release.at):
                 self._soak = release.id, release.at, now
             if now - self._soak[2] >= release.soak:
-                return [(f"step {release.at + 1} of {len(release.steps)} is over",
-                         partial(agreed.advance, at=release.at))]
+                return [
+                    (f"step {release.at + 1} of {len(release.steps)} is over", partial(agreed.advance, at=release.at))
+                ]
             return []
         self._soak = None
         changes: list[tuple[str, Change]] = []
         limit = min(most(release.group), release.max_out)
         room = limit - state.out(release.group)
-        for subject in agreed.moves(state)[:max(0, room)]:
+        for subject in agreed.moves(state)[: max(0, room)]:
             view = views.get(subject)
             if view is not None and view.there:  # one that is not there is owed its move, until that takes too long
-                changes.append((f"{subject} is to move", partial(
-                    agreed.move, subject=subject, most=most(release.group), by=self.me, begun=view.start,
-                    before=view.version)))
+                changes.append(
+                    (
+                        f"{subject} is to move",
+                        partial(
+                            agreed.move,
+                            subject=subject,
+                            most=most(release.group),
+                            by=self.me,
+                            begun=view.start,
+                            before=view.version,
+                        ),
+                    )
+                )
         return changes
 
     def _back(self, slot: Slot, view: View) -> bool:
--- a/millethead/rollout/health.py
+++ b/millethead/rollout/health.py
@@ -31,8 +31,10 @@
         return list(now)
     if any(n.answers < b.answers for n, b in zip(now, before, strict=True)):
         return list(now)
-    return [Counts(n.served - b.served, n.refused - b.refused, n.failed - b.failed, n.ms - b.ms)
-            for n, b in zip(now, before, strict=True)]
+    return [
+        Counts(n.served - b.served, n.refused - b.refused, n.failed - b.failed, n.ms - b.ms)
+        for n, b in zip(now, before, strict=True)
+    ]
 
 
 def add(tables: Iterable[Table]) -> list[Counts]:
@@ -56,8 +58,10 @@
             name = classes[n] if n < len(classes) else f"class {n}"
             if new.answers < limits.least:
                 continue
-            for what, of_new, of_old, more in (("failed", new.failed, old.failed, limits.errors),
-                                               ("refused", new.refused, old.refused, limits.refusals)):
+            for what, of_new, of_old, more in (
+                ("failed", new.failed, old.failed, limits.errors),
+                ("refused", new.refused, old.refused, limits.refusals),
+            ):
                 part, usual = of_new / new.answers, of_old / old.answers if old.answers else 0.0
                 if part > usual + more:
                     return f"{who}: {part:.0%} of {name} {what}, the others {usual:.0%}"
--- a/millethead/rollout/register.py
+++ b/millethead/rollout/register.py
@@ -67,11 +67,27 @@
     present one. It is enough that each change adds or takes away one voter: a majority before it and one after it meet.
     """
 
-    __slots__ = ("_accepted", "_change", "_found", "_named", "_promised", "ballot", "lost", "old", "refused", "value",
-                 "voters")
-
-    def __init__(self, ballot: Ballot, voters: tuple[str, ...], change: Callable[[bytes], bytes],
-                 named: Callable[[bytes], tuple[str, ...]] = lambda value: ()) -> None:
+    __slots__ = (
+        "_accepted",
+        "_change",
+        "_found",
+        "_named",
+        "_promised",
+        "ballot",
+        "lost",
+        "old",
+        "refused",
+        "value",
+        "voters",
+    )
+
+    def __init__(
+        self,
+        ballot: Ballot,
+        voters: tuple[str, ...],
+        change: Callable[[bytes], bytes],
+        named: Callable[[bytes], tuple[str, ...]] = lambda value: (),
+    ) -> None:
         self.ballot, self.voters, self._change, self._named = ballot, voters, change, named
         self.value: bytes | None = None
         self.old = b""
--- a/millethead/rollout/shell.py
+++ b/millethead/rollout/shell.py
@@ -102,6 +102,7 @@
         self._counts: dict[str, dict[str, list[Counts]]] = {}  # dispatcher -> subject -> by class, as last told
         self._base: dict[str, dict[str, list[Counts]]] = {}  # subject -> dispatcher -> the same when its judging began
         self._judged, self._going = 0, False
+        self._not_stored = 0  # token of the step whose wanted version could not be written
         self._pushed = self._asked = self._confirms = 0.0
         members.others = (MARK, self._datagram)
 
@@ -167,14 +168,18 @@
             if one.lost is not None:
                 self._top = max(self._top, one.lost[0])
                 await asyncio.sleep(self._random.uniform(0.005, 0.06))
-        raise NoMajority("no majority of the voters answered in time; " + (
-            "the change may still come to be: see GET /fleet" if asked else "nothing was changed"))
+        raise NoMajority(
+            "no majority of the voters answered in time; "
+            + ("the change may still come to be: see GET /fleet" if asked else "nothing was changed")
+        )
 
     def _begun(self, state: State) -> State:
         """A state with who decides and who lends: at first those that the file names."""
         return msgspec.structs.replace(
-            state, voters=state.voters or tuple(self.setup.voters),
-            offices=state.offices or tuple(Office(name) for name in self.members.setup.stewards))
+            state,
+            voters=state.voters or tuple(self.setup.voters),
+            offices=state.offices or tuple(Office(name) for name in self.members.setup.stewards),
+        )
 
     def _ask(self, seq: int, one: Round) -> None:
         word = one.ask()
@@ -284,12 +289,17 @@
         old, self.state, self.learned = self.state, state, True
         self.members.offices(state.offices)
         release = state.release
-        log.info("rollout_agreed", rev=state.rev, voters=",".join(state.voters),
-                 stewards=",".join(f"{o.name}:{o.token}" for o in state.offices),
-                 out=",".join(f"{s.subject}:{s.token}:{s.group}" for s in state.slots),
-                 release=f"{release.id}:{release.status}:{release.at}" if release is not None else "",
-                 moved=",".join(m.subject for m in release.moved) if release is not None else "",
-                 why=release.why if release is not None else "", mono=time.monotonic())
+        log.info(
+            "rollout_agreed",
+            rev=state.rev,
+            voters=",".join(state.voters),
+            stewards=",".join(f"{o.name}:{o.token}" for o in state.offices),
+            out=",".join(f"{s.subject}:{s.token}:{s.group}" for s in state.slots),
+            release=f"{release.id}:{release.status}:{release.at}" if release is not None else "",
+            moved=",".join(m.subject for m in release.moved) if release is not None else "",
+            why=release.why if release is not None else "",
+            mono=time.monotonic(),
+        )
         out = frozenset(s.subject for s in state.slots if s.group != DISPATCHERS)
         if out != frozenset(s.subject for s in old.slots if s.group != DISPATCHERS):
             self.host.fleet_out(out)
@@ -349,16 +359,22 @@
     async def _go(self) -> None:
         """This dispatcher's own turn to go, if it has a slot: once."""
         slot, me = self.state.of(self.me), self.members.swim.me
-        if slot is None or slot.group != DISPATCHERS or slot.begun or self._going:
+        if slot is None or slot.group != DISPATCHERS or self._going or slot.token == self._not_stored:
             return
-        if slot.start != me.start if not slot.version else slot.version == me.version:
+        if slot.begun:
+            if slot.start != me.start:
+                return  # the process before this one began it
+            # this process did, and found no majority in time: the change was agreed all the same
+        elif slot.start != me.start if not slot.version else slot.version == me.version:
             return  # meant for the process before this one, or there already
-        await self.change(lambda state: agreed.begin(state, slot.token, me.start))
+        else:
+            await self.change(lambda state: agreed.begin(state, slot.token, me.start))
         if slot.version:
             body = json.dumps({"version": slot.version, "token": slot.token}).encode()
             try:
                 write_lasting(Path(self.setup.folder) / f"{self.me}.wanted", body)
             except OSError as error:  # it stays; the release halts, and a resume has it try again
+                self._not_stored = slot.token
                 log.error("rollout_not_stored", why=str(error))
                 return
         self._going = True
@@ -427,13 +443,36 @@
         state, release = self.state, self.state.release
         groups = [DISPATCHERS, *(WORKERS + kind for kind in self.setup.pools)]
         return {
-            "dispatcher": self.me, "known": self.learned, "rev": state.rev, "voters": list(self.voters),
+            "dispatcher": self.me,
+            "known": self.learned,
+            "rev": state.rev,
+            "voters": list(self.voters),
             "voters_there": self._voters_there(),
             "stewards": [{"member": o.name, "token": o.token} for o in state.offices],
             "groups": {group: {"out": state.out(group), "max_out": self.most(group)} for group in groups},
-            "out": [{"member": s.subject, "group": s.group, "token": s.token, "by": s.by, "begun": s.begun,
-                     "version": s.version, "release": s.release} for s in state.slots],
-            "release": None if release is None else {
-                "id": release.id, "group": release.group, "version": release.version, "status": release.status,
-                "why": release.why, "step": release.at + 1, "steps": [list(s) for s in release.steps],
-                "moved": [m.subject for m in release.moved], "max_out": release.max_out}}
+            "out": [
+                {
+                    "member": s.subject,
+                    "group": s.group,
+                    "token": s.token,
+                    "by": s.by,
+                    "begun": s.begun,
+                    "version": s.version,
+                    "release": s.release,
+                }
+                for s in state.slots
+            ],
+            "release": None
+            if release is None
+            else {
+                "id": release.id,
+                "group": release.group,
+                "version": release.version,
+                "status": release.status,
+                "why": release.why,
+                "step": release.at + 1,
+                "steps": [list(s) for s in release.steps],
+                "moved": [m.subject for m in release.moved],
+                "max_out": release.max_out,
+            },
+        }
--- a/millethead/rollout/state.py
+++ b/millethead/rollout/state.py
@@ -128,8 +128,9 @@
 # ---- slots ---------------------------------------------------------------------------------------------
 
 
-def take(state: State, group: str, subject: str, most: int, by: str, start: float = 0.0, version: str = "",
-         release: int = 0) -> State:
+def take(
+    state: State, group: str, subject: str, most: int, by: str, start: float = 0.0, version: str = "", release: int = 0
+) -> State:
     """A slot of `group`, of which `most` may be out."""
     if state.of(subject) is not None:
         raise Refused(f"{subject} is out already")
@@ -206,8 +207,11 @@
     if new in names:
         raise Refused(f"{new} is a steward already")
     token = state.tokens + 1
-    return _next(state, tokens=token, offices=tuple(
-        Office(new, token) if office.name == old else office for office in state.offices))
+    return _next(
+        state,
+        tokens=token,
+        offices=tuple(Office(new, token) if office.name == old else office for office in state.offices),
+    )
 
 
 # ---- releases ------------------------------------------------------------------------------------------
@@ -233,8 +237,7 @@
     """Without the steps that were agreed on and have not begun: they need not happen."""
     idle = {s.token for s in state.slots if abs(s.release) == r.id and not s.begun}
     forward = {s.subject for s in state.slots if s.release == r.id and s.token in idle}
-    return (tuple(s for s in state.slots if s.token not in idle),
-            tuple(m for m in r.moved if m.subject not in forward))
+    return (tuple(s for s in state.slots if s.token not in idle), tuple(m for m in r.moved if m.subject not in forward))
 
 
 def resume(state: State) -> State:
@@ -288,8 +291,9 @@
     version = r.version if r.status == RUNNING else next(m.before for m in r.moved if m.subject == subject)
     if r.group != DISPATCHERS:  # booking workers tell no version: one that has started anew is back
         version = ""
-    state = take(state, r.group, subject, min(most, r.max_out), by, begun, version,
-                 r.id if r.status == RUNNING else -r.id)
+    state = take(
+        state, r.group, subject, min(most, r.max_out), by, begun, version, r.id if r.status == RUNNING else -r.id
+    )
     if r.status == RUNNING:
         state = _replace(state, release=_replace(r, moved=(*r.moved, Moved(subject, before))))
     return state
@@ -298,8 +302,12 @@
 def step_over(state: State) -> bool:
     """Whether all of the present step are moved and back."""
     r = state.release
-    return (r is not None and r.status == RUNNING and not moves(state)
-            and not any(abs(s.release) == r.id for s in state.slots))
+    return (
+        r is not None
+        and r.status == RUNNING
+        and not moves(state)
+        and not any(abs(s.release) == r.id for s in state.slots)
+    )
 
 
 def advance(state: State, at: int) -> State:
--- a/millethead/rollout/store.py
+++ b/millethead/rollout/store.py
@@ -27,6 +27,10 @@
         os.close(folder)
 
 
+class DamagedStore(ConfigError):
+    """The file is there, and what it held cannot be known."""
+
+
 class Store:
     """The file of one voter: two places that are written in turn, each with a mark (and version), a checksum, a number
     that rises, and the state. A write that is cut short leaves the other place, and was never answered.
@@ -38,6 +42,7 @@
     def __init__(self, folder: Path, name: str) -> None:
         self.path = folder / f"{plain_name(name)}.agreed"
         self._number = 0
+        self._last = Kept()
 
     def load(self) -> Kept:
         """Raises ConfigError where the file is there and cannot be used: a voter that forgets what it has promised
@@ -52,13 +57,29 @@
             return Kept()
         except OSError as error:
             raise ConfigError(f"rollout.folder: {error}") from None
-        found = [read for at in (0, PLACE) if (read := _read(raw[at:at + PLACE])) is not None]
+        found = [read for at in (0, PLACE) if (read := _read(raw[at : at + PLACE])) is not None]
         if not found:
-            raise ConfigError(f"{self.path}: what this voter had promised cannot be read (torn, or of another "
-                              "version); bring the file back, or vote this one out, delete it, start, and add it again")
+            raise DamagedStore(
+                f"{self.path}: what this voter had promised cannot be read (torn, or of another "
+                "version); bring the file back, or vote this one out, delete it, start, and add it "
+                "again"
+            )
         self._number, newest = max(found, key=lambda x: x[0])
+        self._last = newest
+        try:
+            self._sync()
+        except OSError as error:
+            raise ConfigError(f"rollout.folder: {error}") from None
         return newest
 
+    def _sync(self) -> None:
+        """Make durable what was read: a process that was killed may have left it unsynced."""
+        file = os.open(self.path, os.O_WRONLY)
+        try:
+            os.fdatasync(file)
+        finally:
+            os.close(file)
+
     def save(self, kept: Kept) -> None:
         """Have it on disk when this returns; raises OSError, and then what was there still counts."""
         place, number = _place(self._number + 1, kept), self._number + 1
@@ -68,7 +89,18 @@
             os.fdatasync(file)
         finally:
             os.close(file)
-        self._number = number
+        self._number, self._last = number, kept
+
+    def repair(self) -> bool:
+        """Read again what was saved last, and save it anew where it is not there: the other place holds older promises,
+        and at the next start they would be taken for the newest. Whether that was needed. Raises OSError."""
+        expected = _place(self._number, self._last)
+        with self.path.open("rb") as file:
+            found = os.pread(file.fileno(), PLACE, PLACE * (self._number % 2))
+        if found == expected:
+            return False
+        self.save(self._last)
+        return True
 
 
 def _place(number: int, kept: Kept) -> bytes:
@@ -80,7 +112,7 @@
 
 
 def _read(place: bytes) -> tuple[int, Kept] | None:
-    body = place[8:12 + int.from_bytes(place[8:12], "big")]
+    body = place[8 : 12 + int.from_bytes(place[8:12], "big")]
     if place[:4] != MAGIC or zlib.crc32(body) != int.from_bytes(place[4:8], "big"):
         return None
     try:
--- a/millethead/succession/link.py
+++ b/millethead/succession/link.py
@@ -37,8 +37,9 @@
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(sock.fileno(), self._read)
 
-    def send(self, what: str, fields: dict[str, Any] | None = None, body: bytes = b"",
-             handed: int | None = None) -> bool:
+    def send(
+        self, what: str, fields: dict[str, Any] | None = None, body: bytes = b"", handed: int | None = None
+    ) -> bool:
         """Queue a message; `handed` is a descriptor that goes with it, and is closed here once it has. False if the
         link is gone or the message too large (the descriptor is then left to the caller)."""
         message = json.dumps({**(fields or {}), "what": what}).encode() + b"\n" + body
@@ -97,8 +98,12 @@
                 return
             except OSError:
                 data, rights = b"", []
-            handed = [fd for _, kind, raw in rights if kind == socket.SCM_RIGHTS
-                      for fd in array("i", raw[:len(raw) // 4 * 4])]
+            handed = [
+                fd
+                for _, kind, raw in rights
+                if kind == socket.SCM_RIGHTS
+                for fd in array("i", raw[: len(raw) // 4 * 4])
+            ]
             for extra in handed[1:]:
                 os.close(extra)
             if not data:
--- a/millethead/succession/succession.py
+++ b/millethead/succession/succession.py
@@ -52,9 +52,21 @@
     `whose` says which dispatcher's process this is; one of another is left alone. `movable`: whether jobs can be
     handed over (where stages before the exchange hold them back, they end here)."""
 
-    def __init__(self, folder: Path, name: str, whose: str, clock: LoopClock, exchange: Exchange, workers: HttpWorkers,
-                 discovery: Discovery, acceptor: Acceptor, resume: Resume, local: Callable[[bytes], bool],
-                 share: Callable[[int, int], None], movable: bool = True) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        whose: str,
+        clock: LoopClock,
+        exchange: Exchange,
+        workers: HttpWorkers,
+        discovery: Discovery,
+        acceptor: Acceptor,
+        resume: Resume,
+        local: Callable[[bytes], bool],
+        share: Callable[[int, int], None],
+        movable: bool = True,
+    ) -> None:
         """`local`: hands news on, and says whether it was for a job here. `share`: told how many connections of
         clients and to workers the process before this one still has."""
         self.meeting = Meeting(folder, f"millethead-{name[:64]}")
@@ -149,8 +161,11 @@
         listener = next(iter(self.acceptor._sockets.values()), None)
         if listener is not None:
             link.send("listener", {}, handed=os.dup(listener.fileno()))
-        lines = [_raw(worker.name, worker.address, worker.entry) for worker in self.exchange.workers
-                 if worker.side is self.workers]
+        lines = [
+            _raw(worker.name, worker.address, worker.entry)
+            for worker in self.exchange.workers
+            if worker.side is self.workers
+        ]
         _send_rows(link, "workers", "lines", lines)
         link.send("out", {"names": sorted(self.exchange.out)})
         module = self.exchange._module
@@ -208,8 +223,9 @@
             match what:
                 case "hello":
                     if said.get("version") != VERSION or said.get("whose") != self.whose:
-                        log.warning("successor_not_ours", version=str(said.get("version")),
-                                    whose=str(said.get("whose")))
+                        log.warning(
+                            "successor_not_ours", version=str(said.get("version")), whose=str(said.get("whose"))
+                        )
                         link.send("no")
                         return
                     log.info("successor_met")
@@ -345,7 +361,7 @@
 def _send_rows(link: Link, what: str, key: str, rows: Sequence[Any]) -> None:
     """As many messages as the rows need; none without rows."""
     for at in range(0, len(rows), CHUNK):
-        link.send(what, {key: rows[at:at + CHUNK]})
+        link.send(what, {key: rows[at : at + CHUNK]})
 
 
 def _raw(name: str, address: tuple[str, int] | None, entry: Any) -> list[Any]:
@@ -354,5 +370,14 @@
 
 def _line(raw: list[Any]) -> Listed:
     name, address, zone, kind, cell, state, rating, started = raw
-    return Listed(str(name), (str(address[0]), int(address[1])), int(zone), int(kind), int(cell), WorkerState(state),
-                  float(rating), float(started), confirms=True)
+    return Listed(
+        str(name),
+        (str(address[0]), int(address[1])),
+        int(zone),
+        int(kind),
+        int(cell),
+        WorkerState(state),
+        float(rating),
+        float(started),
+        confirms=True,
+    )
--- a/millethead/tables.py
+++ b/millethead/tables.py
@@ -11,8 +11,14 @@
 from millethead.config import ConfigError, parse_address
 
 T = TypeVar("T")
-_WORDS = {"`int`": "a whole number", "`float`": "a number", "`str`": "a text", "`bool`": "true or false",
-          "`array`": "a list", "`object`": "a table"}
+_WORDS = {
+    "`int`": "a whole number",
+    "`float`": "a number",
+    "`str`": "a text",
+    "`bool`": "true or false",
+    "`array`": "a list",
+    "`object`": "a table",
+}
 _AT = re.compile(r"(.*?)(?: - at `\$([^`]*)`)?", re.DOTALL)
 
 
--- a/millethead/waiting/ageing.py
+++ b/millethead/waiting/ageing.py
@@ -45,8 +45,9 @@
         allowed = cls.deadline if bound is None else bound
         return due + min(allowed, order.asked - MARGIN if order.waits else order.asked)
 
-    def waits_on(self, order: Order, cls: JobClass, answer: Answer, record: Record | None, now: float,
-                 end: float) -> bool:
+    def waits_on(
+        self, order: Order, cls: JobClass, answer: Answer, record: Record | None, now: float, end: float
+    ) -> bool:
         """Whether a job that had this answer goes back to wait. What may have run does so only if it may be
         repeated: the module that refused it has forgotten where and when it ran."""
         if answer.final is not Final.REFUSED or self._bounds[order.job_class] is None or now >= end - LEAST:
--- a/millethead/waiting/book.py
+++ b/millethead/waiting/book.py
@@ -98,8 +98,9 @@
 class Book:
     """`aged` is the module's flow for aged jobs; None: they wait on in their tenant's (for comparison only)."""
 
-    def __init__(self, setup: WaitingSetup, names: Sequence[str], classes: Sequence[JobClass],
-                 aged: int | None) -> None:
+    def __init__(
+        self, setup: WaitingSetup, names: Sequence[str], classes: Sequence[JobClass], aged: int | None
+    ) -> None:
         self.setup, self.classes, self.aged, self.bounds = setup, classes, aged, Bounds(setup, names)
         self.entries: dict[int, Entry] = {}
         self.leaving = False
@@ -221,8 +222,11 @@
     def amend(self, amendment: Amendment) -> None:
         """Withdraw or hasten what the amendment names, a piece at a time."""
         ids = self._ids.get(amendment.origin, {})
-        among: Iterable[Entry] = (list(ids.values()) if amendment.ids is None else
-                                  [entry for job_id in amendment.ids if (entry := ids.get(job_id)) is not None])
+        among: Iterable[Entry] = (
+            list(ids.values())
+            if amendment.ids is None
+            else [entry for job_id in amendment.ids if (entry := ids.get(job_id)) is not None]
+        )
         self._chores.append(self._amend(amendment, among))
 
     def _amend(self, amendment: Amendment, among: Iterable[Entry]) -> Iterator[None]:
@@ -312,9 +316,19 @@
                 self._to(entry, State.INSIDE)
                 order = entry.order
                 cls = self.classes[order.job_class]
-                self._effects.append(Offer(entry, replace(
-                    order, left=max(1.0, min(cls.deadline, entry.end - now)), plan=None, fresh=True,
-                    flow=self.aged if aged else None, again=entry.offers > 1)))
+                self._effects.append(
+                    Offer(
+                        entry,
+                        replace(
+                            order,
+                            left=max(1.0, min(cls.deadline, entry.end - now)),
+                            plan=None,
+                            fresh=True,
+                            flow=self.aged if aged else None,
+                            again=entry.offers > 1,
+                        ),
+                    )
+                )
                 return True
         return False
 
@@ -335,8 +349,11 @@
 
     def _room_for(self, order: Order, edges: int) -> None:
         setup = self.setup
-        for name, have, more, most in (("jobs", self.kept, 1, setup.jobs), ("edges", self.edges, edges, setup.edges),
-                                       ("bytes", self.bytes, len(order.body), setup.bytes)):
+        for name, have, more, most in (
+            ("jobs", self.kept, 1, setup.jobs),
+            ("edges", self.edges, edges, setup.edges),
+            ("bytes", self.bytes, len(order.body), setup.bytes),
+        ):
             if have + more > most:
                 raise Full(name)
 
--- a/millethead/waiting/room.py
+++ b/millethead/waiting/room.py
@@ -48,8 +48,9 @@
 class WaitingRoom:
     """Holds what must wait, passes on what may run, and owes each its one answer. A `Stage`."""
 
-    def __init__(self, inner: Stage, setup: WaitingSetup, names: Sequence[str], clock: WaitingClock,
-                 ageing: bool = True) -> None:
+    def __init__(
+        self, inner: Stage, setup: WaitingSetup, names: Sequence[str], clock: WaitingClock, ageing: bool = True
+    ) -> None:
         self.inner, self.clock = inner, clock
         self.finished: Finished | None = None
         settings = inner.settings
@@ -221,8 +222,7 @@
         known = self.inner.record(order.origin, order.id) or entry.record
         self.book.answered(entry, answer, known, self.clock.now())
         if entry.state is State.AGED:
-            log.info("job_waits_on", job=order.id, offers=entry.offers,
-                     bound_in_ms=round(entry.end - self.clock.now()))
+            log.info("job_waits_on", job=order.id, offers=entry.offers, bound_in_ms=round(entry.end - self.clock.now()))
         self._go()
 
     def _close(self, close: Close) -> None:
@@ -233,8 +233,12 @@
         if close.why is not None or (entry.kept and self.inner.record(order.origin, order.id) is None):
             self._records.put((order.origin, order.id), ended_unsent(answer, entry.came, now), now)
             if close.why is not None and close.why is not Why.FULL:
-                log.info("job_" + (answer.final.value if answer is not None else "withdrawn"), job=order.id,
-                         why=close.why.value, after_ms=round(now - entry.came))
+                log.info(
+                    "job_" + (answer.final.value if answer is not None else "withdrawn"),
+                    job=order.id,
+                    why=close.why.value,
+                    after_ms=round(now - entry.came),
+                )
         if answer is not None and reply is not None:
             reply(answer)
         if self.finished is not None:
--- /dev/null
+++ b/millethead/web/dispatch.py
@@ -0,0 +1,161 @@
+"""From a request to its handler in a bottle application, and from what the handler returns to an answer."""
+
+from __future__ import annotations
+
+import io
+import secrets
+import sys
+from urllib.parse import unquote_to_bytes, urlsplit
+
+import bottle  # type: ignore[import-untyped]
+import structlog
+
+from millethead.net.parse import BadMessage, Request
+from millethead.web.answers import Answer, Deferred, error_answer
+
+log = structlog.get_logger()
+NOT_FOUND, METHOD_NOT_ALLOWED, INTERNAL_ERROR = 404, 405, 500
+BODY_KEY = "millethead.body"
+Environ = dict[str, object]
+# a body is complete and within HttpLimits before its handler runs: bottle's own limit of 100 KiB is not wanted
+bottle.BaseRequest.MEMFILE_MAX = 1 << 30
+
+
+class UnusableResult(TypeError):
+    """A handler returned what is no answer."""
+
+
+def request_body() -> bytes:
+    """The body of the request that is being handled, without a copy."""
+    body = bottle.request.environ[BODY_KEY]
+    assert isinstance(body, bytes)
+    return body
+
+
+def dispatch(app: bottle.Bottle, request: Request) -> Answer | Deferred:
+    """Call the handler of the request. Whatever a handler raises becomes an answer; raises BadMessage for a request
+    that names no path."""
+    environ = build_environ(request)
+    try:
+        return _call(app, environ)
+    except bottle.HTTPResponse as response:
+        return _from_response(response)
+    except Exception:
+        return internal_error(request)
+
+
+def internal_error(request: Request) -> Answer:
+    """Log the exception that is being handled, and name the line's id to the client."""
+    error_id = secrets.token_hex(4)
+    log.exception("handler_failed", error_id=error_id, method=request.method, path=request.path[:200])
+    return error_answer(INTERNAL_ERROR, f"internal error {error_id}")
+
+
+def _call(app: bottle.Bottle, environ: Environ) -> Answer | Deferred:
+    bottle.request.bind(environ)
+    bottle.response.bind()
+    app.trigger_hook("before_request")
+    try:
+        route, arguments = app.match(environ)
+    except bottle.HTTPError as error:
+        return _unrouted(error)
+    environ["bottle.route"] = route
+    environ["route.url_args"] = arguments
+    result = route.call(**arguments)
+    app.trigger_hook("after_request")
+    return _to_answer(result)
+
+
+def _unrouted(error: bottle.HTTPError) -> Answer:
+    if error.status_code == METHOD_NOT_ALLOWED:
+        allow = error.get_header("Allow")
+        return error_answer(METHOD_NOT_ALLOWED, "the path does not take this method", (("Allow", allow),))
+    if error.status_code == NOT_FOUND:
+        return error_answer(NOT_FOUND, "no such path")
+    return _from_response(error)
+
+
+def _to_answer(result: object) -> Answer | Deferred:
+    if isinstance(result, Answer | Deferred):
+        return result
+    if isinstance(result, bottle.HTTPResponse):
+        return _from_response(result)
+    return _assemble(bottle.response, result)
+
+
+def _from_response(response: bottle.HTTPResponse) -> Answer:
+    if isinstance(response, bottle.HTTPError):
+        return error_answer(response.status_code, str(response.body))
+    return _assemble(response, response.body)
+
+
+def _assemble(response: bottle.BaseResponse, body: object) -> Answer:
+    """The answer of a handler that uses bottle's own means: a text or bytes, and the fields of its response."""
+    if body is None:
+        body = b""
+    elif isinstance(body, str):
+        body = body.encode()
+    if not isinstance(body, bytes):
+        raise UnusableResult(f"a handler returned {type(body).__name__}")
+    content_type = response.content_type
+    dropped = {"content-type", "content-length"}
+    headers = tuple((name, value) for name, value in response.headerlist if name.lower() not in dropped)
+    return Answer(response.status_code, body, content_type, headers)
+
+
+def build_environ(request: Request) -> Environ:
+    """What WSGI says of a request; its path is in Unicode, as bottle hands it to handlers. Raises BadMessage where the
+    target or the method cannot be served."""
+    path, query = _split_target(request.target)
+    if not request.method.isupper():
+        raise BadMessage(400, "the method is not in upper case")
+    body = request.body
+    environ: Environ = {
+        "REQUEST_METHOD": request.method,
+        "SCRIPT_NAME": "",
+        "PATH_INFO": path,
+        "QUERY_STRING": query,
+        "SERVER_PROTOCOL": "HTTP/1.1",
+        "SERVER_NAME": "",
+        "SERVER_PORT": "",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.version": (1, 0),
+        "wsgi.url_scheme": "http",
+        "wsgi.input": io.BytesIO(body),
+        "wsgi.errors": sys.stderr,
+        "wsgi.multithread": False,
+        "wsgi.multiprocess": False,
+        "wsgi.run_once": False,
+        BODY_KEY: body,
+    }
+    for name, value in request.fields.items():
+        if "_" not in name:  # it would pass for the field that is written with a hyphen
+            environ["HTTP_" + name.upper().replace("-", "_")] = value
+    if "content-type" in request.fields:
+        environ["CONTENT_TYPE"] = request.fields["content-type"]
+    return environ
+
+
+def _split_target(target: str) -> tuple[str, str]:
+    """Path, decoded as handlers see it, and query."""
+    if not target.startswith("/"):
+        target = _origin_form(target)
+    path, _, query = target.partition("?")
+    if "%" in path:
+        try:
+            path = unquote_to_bytes(path).decode()
+        except UnicodeDecodeError:
+            raise BadMessage(400, "the path is not in UTF-8") from None
+    return path, query
+
+
+def _origin_form(target: str) -> str:
+    """Path and query of a target that is a whole URL."""
+    try:
+        parts = urlsplit(target)
+    except ValueError:
+        raise BadMessage(400, "a malformed target") from None
+    if parts.scheme not in ("http", "https") or not parts.netloc:
+        raise BadMessage(400, "the target is neither a path nor a URL")
+    path = parts.path or "/"
+    return f"{path}?{parts.query}" if parts.query else path
--- /dev/null
+++ b/millethead/web/limits.py
@@ -0,0 +1,18 @@
+"""What a server grants its clients."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class HttpLimits:
+    """Sizes are in bytes, times in seconds. Header and body times start with the first byte of each; a connection on
+    which no request has begun is idle."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_s: float = 3.0
+    body_timeout_s: float = 10.0
+    idle_timeout_s: float = 15.0
+    max_connections: int = 2000
