--- /dev/null
+++ b/millethead/control/state.py
@@ -0,0 +1,104 @@
+"""The replicated state of the core: the configuration, all jobs, and the nodes that are taken out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from millethead.configuration.change import ConfigurationState, Decision, Method, Order, Verdict
+from millethead.jobs.commands import (
+    AssignRuns,
+    CancelJob,
+    ChangeConfiguration,
+    DrainNode,
+    EndRuns,
+    PurgeJobs,
+    SaveProgress,
+    SubmitJob,
+)
+from millethead.jobs.drained import DrainedNodes
+from millethead.jobs.state import JobTable, Outcome
+from millethead.rpc.codec import CodecError, Record, decode, decode_any, encode
+
+
+@dataclass(frozen=True, slots=True)
+class StateSnapshot(Record):
+    """The whole state, as a snapshot holds it."""
+
+    configuration: bytes
+    jobs: bytes
+    drained: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FirstStateSnapshot(Record):
+    """The same before nodes could be taken out; snapshots of that form may lie on disks."""
+
+    configuration: bytes
+    jobs: bytes
+
+
+def _read_snapshot(payload: bytes) -> StateSnapshot:
+    try:
+        return decode(StateSnapshot, payload)
+    except CodecError:
+        first = decode(FirstStateSnapshot, payload)
+        return StateSnapshot(first.configuration, first.jobs, ())
+
+
+def order_of(command: ChangeConfiguration) -> Order:
+    """The operator's order that a command carries."""
+    return Order(Method.PATCH if command.patch else Method.PUT, command.if_match, command.body)
+
+
+class ControlState:
+    """State machine of the replicated log."""
+
+    def __init__(self) -> None:
+        self.configuration = ConfigurationState()
+        self.jobs = JobTable()
+        self.drained = DrainedNodes()
+
+    def apply(self, payload: bytes) -> Decision | Outcome | None:
+        """Take in one command; the first entry of an epoch has none."""
+        if not payload:
+            return None
+        return self.apply_command(decode_any(payload))
+
+    def apply_command(self, command: Record) -> Decision | Outcome | None:
+        match command:
+            case ChangeConfiguration():
+                return self._change(command)
+            case SubmitJob():
+                return self.jobs.submit(command)
+            case CancelJob():
+                return self.jobs.cancel(command)
+            case AssignRuns():
+                return self.jobs.assign(command)
+            case EndRuns():
+                return self.jobs.end(command)
+            case SaveProgress():
+                return self.jobs.save(command)
+            case PurgeJobs():
+                return self.jobs.purge(command)
+            case DrainNode():
+                self.drained.apply(command)
+                return None
+        raise ValueError(f"{type(command).__name__} is no command")
+
+    def _change(self, command: ChangeConfiguration) -> Decision:
+        order = order_of(command)
+        decision = self.configuration.decide(order)
+        if decision.verdict is Verdict.ACCEPTED:
+            self.configuration.accept(order, decision)
+        return decision
+
+    def snapshot(self) -> bytes:
+        return encode(StateSnapshot(self.configuration.encode(), self.jobs.encode(), self.drained.names()))
+
+    def restore(self, payload: bytes) -> None:
+        self.configuration, self.jobs, self.drained = ConfigurationState(), JobTable(), DrainedNodes()
+        if payload:
+            kept = _read_snapshot(payload)
+            self.configuration = ConfigurationState.decode(kept.configuration)
+            self.jobs.restore(kept.jobs)
+            self.drained = DrainedNodes(kept.drained)
--- /dev/null
+++ b/millethead/execution/calls.py
@@ -0,0 +1,210 @@
+"""Calls of an agent to its worker and what came of them, typed; and their bodies on the wire."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+from typing import Any
+
+import msgspec
+
+from millethead.execution.messages import EndEntry, RunEnd, RunKey, RunProgress
+
+START_PATH, STOP_PATH, HOLD_PATH = "/-/run-start", "/-/run-stop", "/-/hold"
+LIFE_HEADER = "X-Expect-Instance"
+MOST_ENDS_LISTED = 500  # by one answer; a list of that length may not be complete
+_ENDS = {
+    "done": RunEnd.DONE,
+    "failed": RunEnd.FAILED,
+    "stopped": RunEnd.STOPPED,
+    "lapsed": RunEnd.LAPSED,
+    "broken": RunEnd.BROKEN,
+    "alone": RunEnd.ALONE,
+}
+_encode = msgspec.json.Encoder().encode
+
+
+class MalformedAnswer(ValueError):
+    """The worker's answer is not what the protocol says."""
+
+
+@dataclass(frozen=True, slots=True)
+class HoldCall:
+    """Hold what runs until `deadline_ms` on the worker's clock (None: only look), and list runs and ends."""
+
+    call: int
+    instance: str
+    timeout_s: float
+    fence: int
+    last_seen: int
+    deadline_ms: int | None
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    """Start a run, held until `deadline_ms` on the worker's clock."""
+
+    call: int
+    instance: str
+    timeout_s: float
+    fence: int
+    key: RunKey
+    spec: str
+    checkpoint: str
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopCall:
+    """Stop a run; if it is not there yet, the worker is to reject it."""
+
+    call: int
+    instance: str
+    timeout_s: float
+    fence: int
+    key: RunKey
+
+
+WorkerCall = HoldCall | StartCall | StopCall
+
+
+class CallVerdict(Enum):
+    """What came of a call, as far as the agent's decisions go."""
+
+    DONE = "done"  # 200
+    REJECTED = "rejected"  # 409, with a reason
+    WRONG_LIFE = "wrong_life"  # 421
+    UNHEALTHY = "unhealthy"  # 429 or 503: the worker has done nothing
+    INVALID = "invalid"  # another 4xx: the worker has done nothing
+    NOT_SENT = "not_sent"  # no connection: certainly not carried out
+    UNCLEAR = "unclear"  # no answer, or none that says: may have been carried out, or may be later
+
+
+class Rejection(StrEnum):
+    """Why a worker rejects an order."""
+
+    FENCE = "fence"  # it has seen a higher one
+    OLD = "old"  # that run, or a higher one of the task, has ended or was stopped there
+    LATE = "late"  # the deadline is over
+    ROOM = "room"  # it does not fit
+    OTHER = ""
+
+
+@dataclass(frozen=True, slots=True)
+class HoldLists:
+    """What a hold answers: the runs that are there, and the ends above the call's `last_seen`, by rising number."""
+
+    running: tuple[RunProgress, ...]
+    ends: tuple[EndEntry, ...]
+
+    @property
+    def complete(self) -> bool:
+        """Whether no end can have been left out."""
+        return len(self.ends) < MOST_ENDS_LISTED
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """The outcome of a call; times are seconds of the agent's steady clock, `clock_ms` is the worker's. `no_listener`:
+    no process listens at the worker's address."""
+
+    result: CallVerdict
+    sent_at: float
+    ended_at: float
+    rejection: Rejection = Rejection.OTHER
+    clock_ms: float | None = None
+    lists: HoldLists | None = None
+    no_listener: bool = False
+
+
+def path_of(call: WorkerCall) -> str:
+    """The path that the call goes to."""
+    if isinstance(call, HoldCall):
+        return HOLD_PATH
+    return START_PATH if isinstance(call, StartCall) else STOP_PATH
+
+
+def body_of(call: WorkerCall) -> bytes:
+    """The call's body in JSON."""
+    if isinstance(call, HoldCall):
+        return _hold_body(call)
+    body: dict[str, Any] = {"task": call.key.task, "run": call.key.run}
+    if isinstance(call, StartCall):
+        body |= {"spec": call.spec, "deadline_ms": call.deadline_ms}
+        if call.checkpoint:
+            body["checkpoint"] = call.checkpoint
+    return _encode(body | {"fence": call.fence})
+
+
+def _hold_body(call: HoldCall) -> bytes:
+    body: dict[str, Any] = {"fence": call.fence, "last_seen": call.last_seen}
+    if call.deadline_ms is not None:
+        body["deadline_ms"] = call.deadline_ms
+    if call.wait_ms:
+        body["wait_ms"] = call.wait_ms
+    return _encode(body)
+
+
+def read_answer(call: WorkerCall, status: int, body: bytes, sent_at: float, ended_at: float) -> CallAnswer:
+    """The outcome that an HTTP answer stands for. An answer that cannot be read leaves the outcome unclear."""
+    try:
+        return _read(call, status, body, sent_at, ended_at)
+    except (msgspec.DecodeError, ValueError, TypeError, KeyError, AttributeError):
+        return CallAnswer(CallVerdict.UNCLEAR, sent_at, ended_at)
+
+
+def _read(call: WorkerCall, status: int, body: bytes, sent_at: float, ended_at: float) -> CallAnswer:
+    result = _result(status)
+    if result in (CallVerdict.UNHEALTHY, CallVerdict.INVALID, CallVerdict.WRONG_LIFE, CallVerdict.UNCLEAR):
+        return CallAnswer(result, sent_at, ended_at)
+    fields = msgspec.json.decode(body)
+    clock_ms = float(fields["clock_ms"]) if "clock_ms" in fields else None
+    if result is CallVerdict.REJECTED:
+        return CallAnswer(result, sent_at, ended_at, _rejection(fields.get("reason")), clock_ms)
+    lists = read_lists(fields) if isinstance(call, HoldCall) else None
+    return CallAnswer(result, sent_at, ended_at, Rejection.OTHER, clock_ms, lists)
+
+
+def _result(status: int) -> CallVerdict:
+    known = {
+        200: CallVerdict.DONE,
+        409: CallVerdict.REJECTED,
+        421: CallVerdict.WRONG_LIFE,
+        408: CallVerdict.UNCLEAR,
+        429: CallVerdict.UNHEALTHY,
+        503: CallVerdict.UNHEALTHY,
+    }
+    if status in known:
+        return known[status]
+    return CallVerdict.INVALID if 400 <= status < 500 else CallVerdict.UNCLEAR
+
+
+def _rejection(reason: object) -> Rejection:
+    try:
+        return Rejection(str(reason))
+    except ValueError:
+        return Rejection.OTHER
+
+
+def read_lists(fields: dict[str, Any]) -> HoldLists:
+    """Both lists of a hold's answer; raises MalformedAnswer, ValueError or TypeError."""
+    running = tuple(_progress(*item) for item in fields.get("running", ()))
+    ends = tuple(_end(*item) for item in fields.get("exited", ()))
+    return HoldLists(running, tuple(sorted(ends, key=lambda end: end.number)))
+
+
+def _progress(task: str, run: int, saved: str = "", percent: float = 0) -> RunProgress:
+    return RunProgress(_key(task, run), saved or "", max(0, min(100, int(percent or 0))))
+
+
+def _end(number: int, task: str, run: int, how: str, saved: str = "") -> EndEntry:
+    if number < 1:
+        raise MalformedAnswer("ends are counted from 1")
+    return EndEntry(int(number), _key(task, run), _ENDS.get(how, RunEnd.LOST), saved or "")
+
+
+def _key(task: str, run: int) -> RunKey:
+    if not isinstance(task, str) or not isinstance(run, int):
+        raise MalformedAnswer("not a task and a run")
+    return RunKey(task, run)
--- /dev/null
+++ b/millethead/execution/heartbeats.py
@@ -0,0 +1,109 @@
+"""What a worker sends its agent: heartbeats and its leave, over HTTP. Every well-formed call is acknowledged at once,
+whatever the core does."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import bottle  # type: ignore[import-untyped]
+import msgspec
+
+from millethead.execution.messages import Resources, WorkerInfo
+from millethead.web.server import Answer, error_answer, json_answer, request_body
+
+INSTANCES_PATH = "/-/instances/<instance>"
+DRAINING = "draining"
+LONGEST_INSTANCE = 200  # bytes of an id
+NOT_DRAINING = -1  # `remaining_ms` of a worker that does not drain
+_LARGEST_32, _LARGEST_16, _LARGEST_64 = (1 << 32) - 1, (1 << 16) - 1, (1 << 63) - 1
+
+Beat = Callable[[WorkerInfo, float | None], None]
+Leave = Callable[[str], None]
+
+
+class _Capacity(msgspec.Struct):
+    cpu: float = 0
+    mem_mb: float = 0
+    gpu: float = 0
+
+
+class _Beat(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str = ""
+    version: str = ""
+    slots: float = 0
+    state: str = "ready"
+    cold_left_ms: float = 0
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    labels: list[str] = msgspec.field(default_factory=list)
+    clock_ms: float | None = None
+    remaining_ms: float | None = None
+    seq: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Beat)
+
+
+class MalformedBeat(ValueError):
+    """A heartbeat that cannot be read."""
+
+
+def read_beat(instance: str, body: bytes) -> tuple[WorkerInfo, float | None]:
+    """What a heartbeat says of the worker, and its clock in ms if it tells it; raises MalformedBeat."""
+    if not 0 < len(instance.encode("utf-8", "replace")) <= LONGEST_INSTANCE:
+        raise MalformedBeat("the id is empty or too long")
+    try:
+        beat = _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise MalformedBeat(str(error)) from None
+    return _worker_info(instance, beat), beat.clock_ms
+
+
+def _worker_info(instance: str, beat: _Beat) -> WorkerInfo:
+    draining = beat.state == DRAINING
+    remaining = _whole(beat.remaining_ms or 0, _LARGEST_64) if draining else NOT_DRAINING
+    return WorkerInfo(
+        instance=instance,
+        service=beat.service,
+        address=beat.addr,
+        zone=beat.zone,
+        version=beat.version,
+        slots=_whole(beat.slots, _LARGEST_32),
+        draining=draining,
+        cold_left_ms=_whole(beat.cold_left_ms, _LARGEST_32),
+        capacity=Resources(
+            _whole(beat.capacity.cpu, _LARGEST_32),
+            _whole(beat.capacity.mem_mb, _LARGEST_32),
+            _whole(beat.capacity.gpu, _LARGEST_16),
+        ),
+        labels=tuple(beat.labels),
+        remaining_ms=remaining,
+        sequence=_whole(beat.seq, _LARGEST_64),
+    )
+
+
+def _whole(value: float, largest: int) -> int:
+    """A whole number that its field holds, rounded down."""
+    return max(0, min(largest, int(value)))
+
+
+def heartbeat_app(beat: Beat, leave: Leave) -> bottle.Bottle:
+    """The application that takes a worker's calls and hands on what they say."""
+    app = bottle.Bottle()
+
+    def put(instance: str) -> Answer:
+        try:
+            info, clock_ms = read_beat(instance, request_body())
+        except MalformedBeat as error:
+            return error_answer(400, str(error))
+        beat(info, clock_ms)
+        return json_answer(200, {})
+
+    def delete(instance: str) -> Answer:
+        leave(instance)
+        return json_answer(200, {})
+
+    app.route(INSTANCES_PATH, "PUT", put)
+    app.route(INSTANCES_PATH, "DELETE", delete)
+    return app
--- /dev/null
+++ b/millethead/execution/reports.py
@@ -0,0 +1,78 @@
+"""Ends on their way to the head: sent until they are noted; only then does `last_seen` move past them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from millethead.execution.messages import EndEntry, RunKey, RunProgress, RunReport
+
+
+@dataclass(slots=True)
+class LastSeen:
+    """How far the listed ends of one life are noted: `number` is the largest such that all up to it are, or were
+    forgotten by the worker before (an agent that was started anew finds those missing)."""
+
+    number: int = 0
+    _reported: set[int] = field(default_factory=set)
+    _noted: set[int] = field(default_factory=set)
+
+    def fresh(self, ends: tuple[EndEntry, ...]) -> tuple[EndEntry, ...]:
+        """The listed ends, by rising number, that have not been reported yet; they count as reported from now on."""
+        if ends and not self._reported:
+            self.number = max(self.number, ends[0].number - 1)
+        fresh = tuple(end for end in ends if end.number > self.number and end.number not in self._reported)
+        self._reported.update(end.number for end in fresh)
+        return fresh
+
+    def note(self, number: int) -> None:
+        """The end is committed."""
+        self._noted.add(number)
+        while self.number + 1 in self._noted:
+            self.number += 1
+            self._noted.discard(self.number)
+            self._reported.discard(self.number)
+
+
+class ReportBook:
+    """Reports of all lives that hold ends and are not noted yet, by rising sequence."""
+
+    def __init__(self) -> None:
+        self._sequence = 0
+        self._open: list[RunReport] = []
+
+    @property
+    def open(self) -> tuple[RunReport, ...]:
+        """What is to be sent again in a new session."""
+        return tuple(self._open)
+
+    def add(self, report: RunReport) -> RunReport:
+        """The report with its sequence: the next one if it holds ends, else 0, and then it is not kept."""
+        if not report.ends:
+            return report
+        self._sequence += 1
+        numbered = RunReport(report.instance, self._sequence, report.started, report.ends, report.progress)
+        self._open.append(RunReport(report.instance, self._sequence, (), report.ends, ()))
+        return numbered
+
+    def note(self, instance: str, sequence: int) -> tuple[EndEntry, ...]:
+        """Drop the life's reports up to `sequence`; returns the ends that are noted thereby."""
+        noted = [report for report in self._open if report.instance == instance and report.sequence <= sequence]
+        self._open = [report for report in self._open if report not in noted]
+        return tuple(end for report in noted for end in report.ends)
+
+
+@dataclass(slots=True)
+class Draft:
+    """What is to be told about one life once the event at hand has been dealt with."""
+
+    started: list[RunKey] = field(default_factory=list)
+    ends: list[EndEntry] = field(default_factory=list)
+    progress: list[RunProgress] = field(default_factory=list)
+
+    def take(self, instance: str) -> RunReport | None:
+        """What there is to tell, as a report; None if nothing. The draft is empty afterwards."""
+        if not (self.started or self.ends or self.progress):
+            return None
+        report = RunReport(instance, 0, tuple(self.started), tuple(self.ends), tuple(self.progress))
+        self.started, self.ends, self.progress = [], [], []
+        return report
--- /dev/null
+++ b/millethead/execution/shell.py
@@ -0,0 +1,220 @@
+"""The agent's shell: sockets, threads and the clock around its decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import secrets
+import signal
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from millethead.configuration.settings import InvalidSettings, ProcessSettings, load_settings
+from millethead.execution.actions import Action, CallWorker, SendRecord
+from millethead.execution.agent import Agent
+from millethead.execution.calls import (
+    LIFE_HEADER,
+    CallAnswer,
+    CallVerdict,
+    HoldCall,
+    WorkerCall,
+    body_of,
+    path_of,
+    read_answer,
+)
+from millethead.execution.client import CallOutcome, CallResult, Lane, WorkerClient
+from millethead.execution.head_finder import HeadFinder
+from millethead.execution.heartbeats import heartbeat_app
+from millethead.execution.messages import AgentHello, WorkerInfo
+from millethead.execution.worker_calls import AgentLimits
+from millethead.rpc.codec import Record
+from millethead.web.metrics import Figure, add_metrics
+from millethead.web.server import HttpLimits, HttpServer
+
+log = structlog.get_logger()
+MS = 1000.0
+LONGEST_HOLD_MS = 6500.0  # a worker that is lost without a trace is known to be so after this time
+END_PATIENCE_S = 0.3  # for calls under way and answers to the worker, when the process is to end
+MOST_CONNECTIONS = 64  # of the worker
+ROUNDS_PER_RELOAD = 5  # failed rounds through the members after which the settings are read again
+CONTENT_TYPE = {"Content-Type": "application/json"}
+
+
+class UnfitSettings(ValueError):
+    """The settings do not describe an agent: they lack the worker's address or where its heartbeats come in."""
+
+
+class AgentShell:
+    """One agent: `run` lasts until `stop`. `reload` reads the settings again (for their seeds)."""
+
+    def __init__(self, settings: ProcessSettings, reload: Callable[[], ProcessSettings] = load_settings) -> None:
+        if settings.app is None or settings.listen.control is None:
+            raise UnfitSettings("an agent needs `app` and `listen.control`")
+        self._settings, self._reload = settings, reload
+        self._app, self._control = settings.app, settings.listen.control
+        self._process = secrets.randbits(63)
+        self._loop = asyncio.get_running_loop()
+        limits = AgentLimits(min(settings.bounds.hold_max_ms, LONGEST_HOLD_MS), settings.heartbeat_ms / MS)
+        self._agent = Agent(limits, self._loop.time())
+        self._client = WorkerClient(self._app, self._post)
+        self._app_of_worker = heartbeat_app(self._on_beat, self._on_leave)
+        self._server = HttpServer(self._app_of_worker, HttpLimits(max_connections=MOST_CONNECTIONS))
+        self._finder = HeadFinder(
+            self._hello, self._seeds, self._on_welcome, self._on_record, self._on_closed, self._on_failed_round
+        )
+        self._failed_rounds = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = math.inf
+        self._stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve the worker until `stop`; its runs go on then, and the next process finds them."""
+        host, port = self._control.rsplit(":", 1)
+        await self._server.listen(host, int(port))
+        log.info("agent_started", node=self._settings.node, worker=self._app)
+        finder = asyncio.create_task(self._finder.run())
+        stopped = asyncio.create_task(self._stopped.wait())
+        await asyncio.wait({finder, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        await self._end(finder)
+        stopped.cancel()
+        if finder.done() and not finder.cancelled():
+            finder.result()
+
+    def add_metrics(self, figures: Callable[[Agent, float], Iterable[Figure]]) -> None:
+        """Have `figures(agent, steady seconds)` told at the address for heartbeats."""
+        add_metrics(self._app_of_worker, lambda: figures(self._agent, self._loop.time()))
+
+    def stop(self) -> None:
+        """End `run` soon."""
+        self._stopped.set()
+
+    def reload_settings(self) -> None:
+        """Take the seeds of the settings as they are now; settings that cannot be read change nothing."""
+        try:
+            self._settings = self._reload()
+        except InvalidSettings as error:
+            log.warning("settings_not_read", why=str(error))
+
+    async def _end(self, finder: asyncio.Task[None]) -> None:
+        """Let what is under way come to its end for a moment, and report it."""
+        until = self._loop.time() + END_PATIENCE_S
+        await self._server.drain(END_PATIENCE_S)
+        while self._agent.calls_under_way and self._loop.time() < until:
+            await asyncio.sleep(END_PATIENCE_S / 10)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._client.close()
+        if not finder.done():
+            finder.cancel()
+            await asyncio.gather(finder, return_exceptions=True)
+        log.info("agent_stopped", node=self._settings.node)
+
+    # ---- events --------------------------------------------------------------------------------------
+
+    def _on_beat(self, info: WorkerInfo, clock_ms: float | None) -> None:
+        self._take(self._agent.worker_beat(info, clock_ms, self._loop.time()))
+
+    def _on_leave(self, instance: str) -> None:
+        self._take(self._agent.worker_left(instance, self._loop.time()))
+
+    def _on_welcome(self, epoch: int) -> None:
+        self._failed_rounds = 0
+        self._take(self._agent.welcomed(epoch, self._loop.time()))
+
+    def _on_record(self, record: Record) -> None:
+        self._take(self._agent.received(record, self._loop.time()))
+
+    def _on_closed(self) -> None:
+        self._take(self._agent.session_closed(self._loop.time()))
+
+    def _on_timer(self) -> None:
+        self._timer, self._timer_at = None, math.inf
+        self._take(self._agent.timer(self._loop.time()))
+
+    def _on_call_ended(self, call: WorkerCall, result: CallResult) -> None:
+        self._take(self._agent.call_ended(call.call, _call_answer(call, result), self._loop.time()))
+
+    def _on_failed_round(self) -> None:
+        self._failed_rounds += 1
+        if self._failed_rounds % ROUNDS_PER_RELOAD == 0:
+            self.reload_settings()
+
+    # ---- actions -------------------------------------------------------------------------------------
+
+    def _take(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SendRecord):
+                self._finder.send(action.record)
+            elif isinstance(action, CallWorker):
+                self._call(action.call)
+            else:
+                self._finder.close_session(action.cause)
+        self._set_timer(self._agent.next_wake())
+
+    def _post(self, call: Callable[[], None]) -> None:
+        """Have the loop make the call; may be used on any thread."""
+        self._loop.call_soon_threadsafe(call)
+
+    def _call(self, call: WorkerCall) -> None:
+        headers = {**CONTENT_TYPE, LIFE_HEADER: call.instance}
+        lane = Lane.HOLD if isinstance(call, HoldCall) else Lane.ORDERS
+        self._client.call(
+            "POST",
+            path_of(call),
+            body_of(call),
+            headers,
+            call.timeout_s,
+            lambda result: self._on_call_ended(call, result),
+            lane,
+        )
+
+    def _set_timer(self, at: float) -> None:
+        """Have one timer, at the moment that the agent waits for; one that comes too early does no harm."""
+        if at >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer, self._timer_at = self._loop.call_at(at, self._on_timer), at
+
+    # ---- the session ---------------------------------------------------------------------------------
+
+    def _hello(self) -> AgentHello:
+        return AgentHello(
+            self._settings.node,
+            self._process,
+            self._agent.epoch,
+            self._settings.zone,
+            self._app,
+            self._settings.service or "",
+        )
+
+    def _seeds(self) -> list[str]:
+        """The members' addresses for what programs say to one another, as the seeds of the settings tell."""
+        port = self._settings.port_range[0]
+        return [f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self._settings.seeds]
+
+
+def _call_answer(call: WorkerCall, result: CallResult) -> CallAnswer:
+    if result.outcome is CallOutcome.ANSWERED:
+        return read_answer(call, result.status, result.body, result.sent_at, result.ended_at)
+    not_sent = result.outcome is CallOutcome.REFUSED_CONNECTION
+    return CallAnswer(
+        CallVerdict.NOT_SENT if not_sent else CallVerdict.UNCLEAR,
+        result.sent_at,
+        result.ended_at,
+        no_listener=result.no_listener,
+    )
+
+
+async def run_until_signal(shell: AgentShell) -> None:
+    """Run the shell until SIGTERM or SIGINT; SIGHUP reads its settings again."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, shell.stop)
+    loop.add_signal_handler(signal.SIGHUP, shell.reload_settings)
+    try:
+        await shell.run()
+    finally:
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(number)
--- /dev/null
+++ b/millethead/programs/agent_figures.py
@@ -0,0 +1,26 @@
+"""What an agent tells of itself at `GET /-/metrics`. It imports nothing that an agent would not."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+
+from millethead.execution.agent import Agent
+from millethead.execution.runs import RunState
+from millethead.web.metrics import Figure, Sample, gauge
+
+
+def agent_figures(agent: Agent, now: float) -> Iterator[Figure]:
+    """Of an agent; `now`: its steady clock."""
+    life = agent.life
+    yield gauge("fence", "Epoch of the newest head that has welcomed this agent.", agent.epoch)
+    yield gauge("lease_left_seconds", "For how long runs may still be held.", max(0.0, agent.lease_end - now))
+    yield gauge("worker_known", "1 while a life of the worker is known.", life is not None)
+    yield gauge("worker_calls_under_way", "Calls to the worker that have not ended.", agent.calls_under_way)
+    counts = Counter(run.state for run in life.runs) if life is not None else Counter[RunState]()
+    yield Figure(
+        "runs",
+        "Runs at the worker by state.",
+        [Sample((state.value,), counts[state]) for state in RunState],
+        ("state",),
+    )
--- /dev/null
+++ b/millethead/programs/control.py
@@ -0,0 +1,387 @@
+"""The control program: a member of the core with its disk, or a relay without one; takes the operator's calls."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+from pathlib import Path
+from random import Random
+
+import structlog
+
+from millethead.configuration.settings import InvalidSettings, ProcessSettings, load_settings
+from millethead.control.agents import AgentSession
+from millethead.control.calls import CallerHello, CallerPing, CallerPong, CallerWelcome
+from millethead.control.client import HeadCaller
+from millethead.control.head import Caller, Head
+from millethead.control.state import ControlState
+from millethead.execution.messages import AgentHello, AgentTurnedAway
+from millethead.programs.addresses import internal_address, seed_addresses, split_address
+from millethead.programs.control_figures import head_figures, member_figures
+from millethead.programs.core_disk import REVIVE_S, CoreDisk, DiskUnusable, await_disk, open_disk
+from millethead.programs.disk_maintenance import DiskMaintenance
+from millethead.programs.loop_ports import DatagramReceiver, LoopClock
+from millethead.programs.operator_api import operator_app
+from millethead.programs.signals import on_signals
+from millethead.replication.chain import Role
+from millethead.replication.log import ReplicatedLog
+from millethead.replication.messages import ChainHello
+from millethead.replication.replica import Replica, ReplicaSettings
+from millethead.replication.view import Member, View
+from millethead.rollout.register import Kept
+from millethead.rpc.codec import CodecError, Record, decode_any, encode_any
+from millethead.rpc.connection import Connection, connect
+from millethead.storage.log import Entry, Recovered, Snapshot
+from millethead.web.metrics import Figure
+from millethead.web.server import HttpLimits, HttpServer
+
+log = structlog.get_logger()
+
+LINK_TIMEOUT_S = 0.4  # to open a link to the successor
+LINK_RETRY_S = 0.05
+HANDOVER_S = 1.5  # time for handing over at SIGTERM
+OPERATOR_BODY_BYTES = 8 << 20
+
+
+class ControlProgram:
+    """One process of the core; `run` lasts until a signal ends it."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        if settings.listen.control is None:
+            raise ValueError("a control program needs `listen.control`")
+        self._settings, self._control_address = settings, settings.listen.control
+        self._address = internal_address(settings)
+        self._loop = asyncio.get_running_loop()
+        self._clock = LoopClock()
+        self._random = Random(secrets.randbits(64))
+        self._disk: CoreDisk | None = None
+        if settings.data_dir is not None:
+            self._disk = await_disk(Path(settings.data_dir), settings.bootstrap)
+        self._reviving: asyncio.Task[None] | None = None
+        self._state = ControlState()
+        self._replica = self._make_replica()
+        self._head: Head | None = None
+        self._head_tick = 0.0
+        self._maintenance: DiskMaintenance | None = None
+        # what came on each connection; a hello waits for this member to be the head
+        self._sessions: dict[Connection, Caller | AgentSession | CallerHello | AgentHello | None] = {}
+        self._links: set[Connection] = set()
+        self._caller = HeadCaller(settings.node, self._caller_seeds, self._random)
+        self._http = HttpServer(
+            operator_app(self._caller, self._figures), HttpLimits(max_body_bytes=OPERATOR_BODY_BYTES)
+        )
+        self._transport: asyncio.DatagramTransport | None = None
+        self._server: asyncio.Server | None = None
+        self._stopped = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _make_replica(self) -> Replica:
+        settings, disk = self._settings, self._disk
+        tolerated = settings.tolerate.machines
+        recovered = disk.recovered if disk is not None else Recovered(None, ())
+        kept = disk.kept if disk is not None else Kept()
+        member = Member(self._address, disk.identity.disk_id if disk is not None else 0)
+        bootstrapping = disk is not None and disk.identity.bootstrapping
+        return Replica(
+            member,
+            secrets.randbits(63),
+            ReplicaSettings(least_chain=tolerated + 1),
+            self,
+            self,
+            self._save,
+            ReplicatedLog(self._state, recovered),
+            kept,
+            seed_addresses(settings),
+            bootstrapping,
+            self._loop.time(),
+            self._random,
+        )
+
+    def _figures(self) -> Iterator[Figure]:
+        scrubber = self._maintenance.scrubber if self._maintenance is not None else None
+        yield from member_figures(self._replica, self._disk, scrubber)
+        yield from head_figures(self._head)
+
+    def _caller_seeds(self) -> tuple[str, ...]:
+        return (self._address, *(seed for seed in seed_addresses(self._settings) if seed != self._address))
+
+    # ---- life --------------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        on_signals(self._stopped.set, self._reload)
+        if self._disk is not None:
+            self._start_disk(self._disk)
+        host, port = split_address(self._address)
+        self._transport, _ = await self._loop.create_datagram_endpoint(
+            lambda: DatagramReceiver(self._datagram), local_addr=(host, port)
+        )
+        self._server = await self._loop.create_server(
+            lambda: Connection(self._received, self._closed, self._opened), host, port, backlog=512
+        )
+        await self._http.listen(*split_address(self._control_address))
+        self._caller.start()
+        log.info("control_started", node=self._settings.node, disk=self._disk is not None)
+        self._tick()
+        await self._stopped.wait()
+        await self._end()
+
+    async def _end(self) -> None:
+        """Hand over what this member does, answer what is under way, and end."""
+        self._replica.leave(self._loop.time())
+        until = self._loop.time() + min(HANDOVER_S, self._settings.bounds.grace_s / 3)
+        while self._replica.chain.role is not Role.OUTSIDE and self._loop.time() < until:
+            await asyncio.sleep(0.02)
+        await self._http.drain(min(2.0, self._settings.bounds.grace_s / 3))
+        self._caller.close()
+        if self._server is not None:
+            self._server.close()
+        if self._disk is not None:
+            self._disk.close(0.5)
+        log.info("control_stopped", node=self._settings.node)
+
+    def _reload(self) -> None:
+        try:
+            self._settings = load_settings()
+        except InvalidSettings as error:
+            log.warning("settings_not_read", why=str(error))
+
+    def _tick(self) -> None:
+        now = self._loop.time()
+        self._replica.tick(now)
+        if self._head is not None and now >= self._head_tick:
+            self._head_tick = self._head.tick()
+        self._maintain_disk()
+        self._loop.call_at(max(now + 0.005, self._replica.next_tick()), self._tick)
+
+    # ---- the disk ----------------------------------------------------------------------------------------
+
+    def _start_disk(self, disk: CoreDisk) -> None:
+        disk.start(self._post, self._loop.time)
+        self._maintenance = DiskMaintenance(disk, self._replica.chain, self._loop.time)
+
+    def _maintain_disk(self) -> None:
+        """A disk that refused a write: what is on it is read anew as soon as it takes writes again, and this member
+        goes on as a new process would."""
+        if self._disk is None or self._maintenance is None:
+            return
+        if not self._disk.broken:
+            self._maintenance.tick()
+        elif self._reviving is None:
+            self._reviving = self._loop.create_task(self._revive())
+
+    async def _revive(self) -> None:
+        folder = Path(self._settings.data_dir or "")
+        while True:
+            await asyncio.sleep(REVIVE_S)
+            try:
+                disk = await asyncio.to_thread(open_disk, folder)
+                break
+            except DiskUnusable as error:
+                log.warning("disk_unusable", why=str(error))
+        self.deposed()
+        for link in list(self._links):
+            link.close()
+        self._disk = disk
+        self._state = ControlState()
+        self._replica = self._make_replica()
+        self._start_disk(disk)
+        self._reviving = None
+        log.info("disk_revived", entry=self._replica.chain.log.last[1])
+
+    def _post(self, call: Callable[[], None]) -> None:
+        self._loop.call_soon_threadsafe(call)
+
+    # ---- what the replica asks for -----------------------------------------------------------------------
+
+    def datagram(self, address: str, record: Record) -> None:
+        if self._transport is not None:
+            self._transport.sendto(encode_any(record), split_address(address))
+
+    def append(self, entries: Sequence[Entry], durable: Callable[[], None]) -> None:
+        assert self._disk is not None
+        self._disk.append(entries, durable)
+
+    def truncate(self, sequence: int) -> None:
+        assert self._disk is not None
+        self._disk.truncate(sequence)
+
+    def install(self, snapshot: Snapshot, durable: Callable[[], None]) -> None:
+        assert self._disk is not None
+        self._disk.install(snapshot, durable)
+
+    def _save(self, kept: Kept, done: Callable[[], None]) -> None:
+        if self._disk is not None:
+            self._disk.save(kept, done)
+
+    def disk_ms(self) -> int:
+        return self._disk.latency_ms() if self._disk is not None else 0
+
+    def open_link(self, address: str) -> None:
+        self._spawn(self._open_link(address, self._replica.chain.epoch))
+
+    async def _open_link(self, address: str, epoch: int) -> None:
+        while self._replica.chain.epoch == epoch:
+            try:
+                link = await connect(address, self._link_received, self._link_closed, LINK_TIMEOUT_S)
+            except OSError:
+                await asyncio.sleep(LINK_RETRY_S)
+                continue
+            if self._replica.chain.epoch != epoch:
+                link.close()
+                return
+            self._links.add(link)
+            self._replica.chain.link_opened(link, address)
+            return
+
+    def committed(self, sequence: int) -> None:
+        self._replica.chain_committed(sequence)
+        if self._head is not None:
+            self._head.gate.committed(sequence)
+
+    def barrier_passed(self, number: int) -> None:
+        if self._head is not None:
+            self._head.gate.barrier_passed(number)
+
+    def synced_to_head(self) -> None:
+        log.info("replica_reconciled", epoch=self._replica.view.epoch, entry=self._replica.chain.log.last[1])
+
+    def view_changed(self, view: View) -> None:
+        log.info(
+            "view",
+            epoch=view.epoch,
+            chain=",".join(place.member.address for place in view.chain),
+            voters=len(view.voters),
+            role=self._replica.chain.role.value,
+        )
+        if self._disk is not None:
+            self._disk.bootstrap_done()
+        for connection, session in list(self._sessions.items()):
+            if isinstance(session, CallerHello):
+                connection.send(CallerWelcome(view, False))
+            elif isinstance(session, AgentHello):
+                self._turn_agent_away(connection)
+
+    def serving(self, epoch: int) -> None:
+        log.info("head_serving", epoch=epoch)
+        self._head = Head(
+            self._replica.view,
+            self._state,
+            self._replica.chain,
+            self._clock,
+            self._random,
+            self._settings.bounds.status_s,
+        )
+        self._head_tick = 0.0
+        for connection, session in list(self._sessions.items()):
+            if isinstance(session, CallerHello):
+                self._sessions[connection] = self._head.caller_hello(connection, session)
+            elif isinstance(session, AgentHello):
+                self._sessions[connection] = self._head.agent_hello(connection, session)
+
+    def deposed(self) -> None:
+        head, self._head = self._head, None
+        if head is None:
+            return
+        log.info("head_deposed", epoch=head.view.epoch)
+        for connection, session in list(self._sessions.items()):
+            if isinstance(session, Caller):
+                self._sessions[connection] = CallerHello(
+                    session.node, 0, session.configuration, session.wants_configuration
+                )
+            elif isinstance(session, AgentSession):
+                self._sessions[connection] = session.hello
+        head.close()
+
+    # ---- datagrams and connections -----------------------------------------------------------------------
+
+    def _datagram(self, data: bytes, sender: str) -> None:
+        try:
+            record = decode_any(data)
+        except CodecError:
+            return
+        self._replica.receive(self._loop.time(), record, sender)
+
+    def _opened(self, connection: Connection) -> None:
+        self._sessions[connection] = None
+
+    def _received(self, connection: Connection, record: Record) -> None:
+        """A record on a connection that another program has opened."""
+        if connection in self._links:
+            self._link_received(connection, record)
+            return
+        session = self._sessions.get(connection)
+        if session is None:
+            self._first_record(connection, record)
+        elif self._head is not None and isinstance(session, Caller):
+            self._head.caller_record(session, record)
+        elif self._head is not None and isinstance(session, AgentSession):
+            self._head.agent_record(session, record)
+        elif isinstance(session, CallerHello) and isinstance(record, CallerPing):
+            view = self._replica.view
+            current = record.epoch == view.epoch and not record.serving
+            connection.send(CallerPong() if current else CallerWelcome(view, False))
+
+    def _first_record(self, connection: Connection, record: Record) -> None:
+        match record:
+            case ChainHello():
+                self._sessions.pop(connection, None)
+                self._links.add(connection)
+                self._link_received(connection, record)
+            case CallerHello():
+                if self._head is not None:
+                    self._sessions[connection] = self._head.caller_hello(connection, record)
+                else:
+                    self._sessions[connection] = record
+                    connection.send(CallerWelcome(self._replica.view, False))
+            case AgentHello():
+                self._agent_hello(connection, record)
+            case _:
+                connection.close()
+
+    def _agent_hello(self, connection: Connection, hello: AgentHello) -> None:
+        if self._head is not None:
+            self._sessions[connection] = self._head.agent_hello(connection, hello)
+            return
+        self._sessions[connection] = hello
+        self._turn_agent_away(connection)
+
+    def _turn_agent_away(self, connection: Connection) -> None:
+        """Unless this member is to be the head in a moment, name the one that is."""
+        if self._replica.chain.role is Role.HEAD:
+            return
+        view = self._replica.view
+        connection.send(AgentTurnedAway(view.epoch, self._replica.head_address, view.addresses()))
+        connection.close()
+
+    def _closed(self, connection: Connection) -> None:
+        if connection in self._links:
+            self._link_closed(connection)
+            return
+        session = self._sessions.pop(connection, None)
+        if self._head is None:
+            return
+        if isinstance(session, Caller):
+            self._head.caller_gone(session)
+        elif isinstance(session, AgentSession):
+            self._head.agent_gone(session)
+
+    def _link_received(self, link: Connection, record: Record) -> None:
+        if not self._replica.link_record(self._loop.time(), link, record):
+            link.close()
+
+    def _link_closed(self, link: Connection) -> None:
+        self._links.discard(link)
+        if self._replica.chain.link_lost(link):
+            successor = self._replica.chain.successor
+            if successor is not None:
+                self._spawn(self._reopen(successor.member.address, self._replica.chain.epoch))
+
+    async def _reopen(self, address: str, epoch: int) -> None:
+        await asyncio.sleep(LINK_RETRY_S)
+        await self._open_link(address, epoch)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/millethead/programs/offline.py
@@ -0,0 +1,157 @@
+"""A disk of the core read while its process is away, for `millethead log` and `millethead snapshot`. Never changes it.
+
+A snapshot file is a log file that holds nothing but one snapshot, so its checksums are checked as a log's are.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from millethead.config import ConfigError
+from millethead.configuration.change import DamagedState
+from millethead.control.state import ControlState
+from millethead.jobs.description import InvalidJob
+from millethead.programs.core_disk import ACCEPTOR
+from millethead.replication.agreement import decode_view
+from millethead.replication.log import ReplicatedLog
+from millethead.replication.view import NO_VIEW, View
+from millethead.rollout.register import Refused
+from millethead.rollout.store import Store
+from millethead.rpc.codec import CodecError
+from millethead.storage.files import drop_cached
+from millethead.storage.identity import IDENTITY_NAME, DiskIdentity, load_identity
+from millethead.storage.log import LOG_NAME, LogFile, Recovered
+from millethead.storage.records import CorruptLog, Snapshot
+from millethead.storage.replay import Contents, replay
+
+
+class NoLog(Exception):
+    """There is no log at a path, or it cannot be opened."""
+
+
+@dataclass(frozen=True, slots=True)
+class LogReport:
+    """What a log file holds. `size` and `whole` are bytes: `whole` of them are records whose checksums hold, and the
+    rest is a torn tail that was never acknowledged."""
+
+    path: Path
+    size: int
+    whole: int
+    snapshot: Snapshot | None
+    entries: int
+    last_epoch: int
+    last_sequence: int
+    state: ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class DiskReport:
+    """A member's disk. `identity` and `view` (the newest one that its acceptor has accepted) are None where the file at
+    hand is a snapshot's, which has neither."""
+
+    identity: DiskIdentity | None
+    view: View | None
+    log: LogReport
+
+
+class _ReadOnlyFile:
+    """A file for `Cursor`, which only reads."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        try:
+            self._descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+        except OSError as error:
+            raise NoLog(f"{path}: {error.strerror}") from None
+
+    def read(self, offset: int, length: int) -> bytes:
+        return os.pread(self._descriptor, length, offset)
+
+    def size(self) -> int:
+        return os.fstat(self._descriptor).st_size
+
+    def write(self, offset: int, data: bytes) -> None:
+        raise PermissionError(f"{self._path} is only read")
+
+    def truncate(self, size: int) -> None:
+        raise PermissionError(f"{self._path} is only read")
+
+    def fdatasync(self) -> None:
+        """Nothing was written."""
+
+    def fsync(self) -> None:
+        """Nothing was written."""
+
+    def drop_cached(self) -> None:
+        drop_cached(self._descriptor)
+
+    def close(self) -> None:
+        os.close(self._descriptor)
+
+
+def read_disk(path: Path) -> DiskReport:
+    """A member's folder, or a snapshot file. Raises NoLog, and CorruptLog where it cannot be believed."""
+    if path.is_dir():
+        log = read_log(path / LOG_NAME)
+        return DiskReport(_read_identity(path), _read_view(path, log), log)
+    log = read_log(path)
+    if log.snapshot is None or log.whole < log.size:
+        raise CorruptLog("not a whole snapshot")
+    return DiskReport(None, None, log)
+
+
+def _read_identity(folder: Path) -> DiskIdentity:
+    if not (folder / IDENTITY_NAME).exists():
+        raise CorruptLog(f"{IDENTITY_NAME}: missing")
+    return load_identity(folder, False, lambda: 0)  # one that is there is only read
+
+
+def _read_view(folder: Path, log: LogReport) -> View:
+    store = Store(folder, ACCEPTOR)
+    if not store.path.exists():
+        if log.last_sequence:
+            raise CorruptLog(f"{store.path.name}: missing beside a log with entries")
+        return NO_VIEW  # its first start was cut short
+    try:
+        return decode_view(store.load().value)
+    except (ConfigError, Refused) as error:
+        raise CorruptLog(str(error)) from None
+
+
+def read_log(path: Path) -> LogReport:
+    """Read a log whole, and work out the state that it makes. Raises NoLog and CorruptLog."""
+    file = _ReadOnlyFile(path)
+    file.drop_cached()
+    try:
+        tail, contents = replay(file)
+        size, whole = file.size(), tail.offset
+    finally:
+        file.close()
+    log = _replayed(contents)
+    epoch, sequence = log.last
+    state = log.machine
+    assert isinstance(state, ControlState)
+    return LogReport(path, size, whole, contents.snapshot, len(contents.entries), epoch, sequence, state)
+
+
+def _replayed(contents: Contents) -> ReplicatedLog:
+    try:
+        return ReplicatedLog(ControlState(), Recovered(contents.snapshot, tuple(contents.entries)))
+    except (CodecError, DamagedState, InvalidJob, ValueError) as error:
+        raise CorruptLog(f"the checksums hold, but the state cannot be worked out: {error}") from None
+
+
+def save_snapshot(report: LogReport, path: Path) -> Snapshot:
+    """Write the state of a log as a snapshot file, durably. Raises OSError, for a path in use too."""
+    if path.exists():
+        raise FileExistsError(errno.EEXIST, os.strerror(errno.EEXIST), str(path))
+    snapshot = Snapshot(report.last_epoch, report.last_sequence, report.state.snapshot())
+    file = LogFile(path.parent, name=path.name)
+    try:
+        file.rewrite(snapshot, ())
+    finally:
+        file.close()
+    return snapshot
--- /dev/null
+++ b/millethead/programs/operator_api.py
@@ -0,0 +1,62 @@
+"""The operator's interface over HTTP: the configuration, passed on to the head of the core."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import bottle  # type: ignore[import-untyped]
+
+from millethead.control.calls import ConfigurationCall
+from millethead.control.client import CallFailed, HeadCaller
+from millethead.web.metrics import Figure, add_metrics
+from millethead.web.server import Answer, Deferred, error_answer, json_answer, request_body
+
+REACH_S = 0.8  # the operator goes to another member after a second of silence
+ANSWER_S = 0.9
+RETRY_AFTER_S = 1
+LONGEST_VERSION = 18  # digits
+
+MakeCall = Callable[[int], ConfigurationCall]
+
+
+def operator_app(caller: HeadCaller, figures: Callable[[], Iterable[Figure]]) -> bottle.Bottle:
+    """The application; `caller` finds the head, `figures` are this member's metrics."""
+    app = bottle.Bottle()
+    add_metrics(app, figures)
+    tasks: set[asyncio.Task[None]] = set()
+
+    @app.route("/-/config", method=["GET", "PUT", "PATCH"])  # type: ignore[untyped-decorator]
+    def configuration() -> Answer | Deferred:
+        method, body = bottle.request.method, request_body()
+        if_match = _version(bottle.request.get_header("If-Match"))
+        deferred = Deferred()
+        task = asyncio.get_running_loop().create_task(
+            _answer(caller, lambda number: ConfigurationCall(number, method, if_match, body), deferred)
+        )
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        return deferred
+
+    @app.get("/-/ready")  # type: ignore[untyped-decorator]
+    def ready() -> Answer:
+        return json_answer(200 if caller.connected else 503, {"head": caller.connected})
+
+    return app
+
+
+def _version(header: str | None) -> int | None:
+    text = (header or "").strip().strip('"')
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= LONGEST_VERSION else None
+
+
+async def _answer(caller: HeadCaller, make: MakeCall, into: Deferred) -> None:
+    try:
+        answer = await caller.call(make, REACH_S, ANSWER_S)
+    except CallFailed as failure:
+        if failure.sent:
+            into.complete(error_answer(504, "the core did not answer in time"))
+        else:
+            into.complete(error_answer(503, "the core cannot be reached", (("Retry-After", str(RETRY_AFTER_S)),)))
+        return
+    into.complete(Answer(answer.status, answer.body))
--- /dev/null
+++ b/millethead/replication/agreement.py
@@ -0,0 +1,181 @@
+"""The register that holds the view: CASPaxos rounds over datagrams, one at a time for each proposer.
+
+The acceptor and the round are those of `rollout.register`; here are their messages, repeats and the disk: an answer of
+the acceptor leaves only when what it promised is on disk.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from millethead.replication.messages import PaxosKind, PaxosMessage
+from millethead.replication.view import NO_VIEW, Member, View
+from millethead.rollout.register import Acceptor, Kept, Refused, Round, Word
+from millethead.rpc.codec import CodecError, decode, encode
+
+REPEAT_S = 0.12  # an unanswered question is put again after this time
+ROUND_S = 1.5  # a round that has not ended by then is given up
+BACKOFF_S = (0.03, 0.15)  # pause after a round that lost against a higher ballot
+_KINDS = {
+    "prepare": PaxosKind.PREPARE,
+    "promise": PaxosKind.PROMISE,
+    "accept": PaxosKind.ACCEPT,
+    "accepted": PaxosKind.ACCEPTED,
+    "nack": PaxosKind.NACK,
+}
+_WORDS = {kind: word for word, kind in _KINDS.items()}
+
+
+class AgreementPorts(Protocol):
+    """What the register needs of its surroundings."""
+
+    def send(self, address: str, message: PaxosMessage) -> None: ...
+
+    def save(self, kept: Kept, done: Callable[[], None]) -> None: ...
+
+
+def decode_view(value: bytes) -> View:
+    """The view that a register's value holds; an empty value is none."""
+    if not value:
+        return NO_VIEW
+    try:
+        return decode(View, value)
+    except CodecError as error:
+        raise Refused(f"the register holds no view: {error}") from None
+
+
+def _voter_names(value: bytes) -> tuple[str, ...]:
+    return tuple(voter.name for voter in decode_view(value).voters)
+
+
+@dataclass(slots=True)
+class _Attempt:
+    round: Round
+    began: float
+    asked_at: float
+
+
+class ViewRegister:
+    """One member's part in the register: acceptor (where it has a disk) and proposer."""
+
+    def __init__(
+        self,
+        me: Member,
+        incarnation: int,
+        ports: AgreementPorts,
+        kept: Kept,
+        random: Random,
+        adopted: Callable[[View], None],
+    ) -> None:
+        self._me, self._incarnation, self._ports, self._random = me, incarnation, ports, random
+        self._acceptor = Acceptor(kept)
+        self._saving = 0
+        self._adopted = adopted
+        self._attempt: _Attempt | None = None
+        self._highest = max(kept.promised[0], kept.accepted[0])
+        self._not_before = 0.0
+
+    @property
+    def busy(self) -> bool:
+        return self._attempt is not None
+
+    def hint(self) -> View:
+        """The newest view that this member's acceptor has accepted; it may not be agreed."""
+        return decode_view(self._acceptor.kept.value)
+
+    def propose(self, now: float, expected: int, wanted: View, voters: tuple[Member, ...]) -> None:
+        """Try to put `wanted` in the place of the view of epoch `expected`; does nothing while a round is under way
+        or its pause lasts. However it ends, the agreed view is handed to `adopted`."""
+        if self._attempt is not None or now < self._not_before:
+            return
+
+        def change(old: bytes) -> bytes:
+            if decode_view(old).epoch != expected:
+                raise Refused("another view is in place")
+            return encode(wanted)
+
+        self._highest += 1
+        ballot = (self._highest, f"{self._me.name}/{self._incarnation:x}")
+        names = tuple(voter.name for voter in voters)
+        self._attempt = _Attempt(Round(ballot, names, change, _voter_names), now, now)
+        self._ask(now)
+
+    def tick(self, now: float) -> None:
+        """Put the question again, or give the round up."""
+        attempt = self._attempt
+        if attempt is None:
+            return
+        if now - attempt.began > ROUND_S:
+            self._end(now)
+        elif now - attempt.asked_at >= REPEAT_S:
+            self._ask(now)
+
+    def receive(self, now: float, sender: str, message: PaxosMessage) -> None:
+        """Take a message of any kind that came from `sender` (host:port)."""
+        self._highest = max(self._highest, message.number, message.accepted_number)
+        if message.kind in (PaxosKind.PREPARE, PaxosKind.ACCEPT):
+            if message.voter == self._me.name and self._me.disk:
+                self._vote(sender, message)
+        else:
+            self._count(now, message)
+
+    def _vote(self, sender: str, message: PaxosMessage) -> None:
+        word = Word(_WORDS[message.kind], (message.number, message.owner), (0, ""), message.value)
+        answer, changed = self._acceptor.take(word)
+        reply = PaxosMessage(
+            _KINDS[answer.kind],
+            self._me.name,
+            answer.ballot[0],
+            answer.ballot[1],
+            answer.accepted[0],
+            answer.accepted[1],
+            answer.value,
+        )
+        if not changed and not self._saving:
+            self._ports.send(sender, reply)
+            return
+        self._saving += 1
+
+        def saved() -> None:
+            self._saving -= 1
+            self._ports.send(sender, reply)
+
+        self._ports.save(self._acceptor.kept, saved)
+
+    def _count(self, now: float, message: PaxosMessage) -> None:
+        attempt = self._attempt
+        if attempt is None:
+            return
+        word = Word(
+            _WORDS[message.kind],
+            (message.number, message.owner),
+            (message.accepted_number, message.accepted_owner),
+            message.value,
+        )
+        more = attempt.round.take(message.voter, word)
+        if attempt.round.lost is not None:
+            self._highest = max(self._highest, attempt.round.lost[0])
+            self._end(now)
+        elif attempt.round.agreed:
+            value = attempt.round.value
+            self._attempt = None
+            if value:
+                self._adopted(decode_view(value))
+        elif more:
+            self._ask(now)
+
+    def _ask(self, now: float) -> None:
+        attempt = self._attempt
+        assert attempt is not None
+        attempt.asked_at = now
+        word = attempt.round.ask()
+        for name in attempt.round.voters:
+            message = PaxosMessage(_KINDS[word.kind], name, word.ballot[0], word.ballot[1], 0, "", word.value)
+            self._ports.send(name.rsplit("/", 1)[0], message)
+
+    def _end(self, now: float) -> None:
+        self._attempt = None
+        self._not_before = now + self._random.uniform(*BACKOFF_S)
--- /dev/null
+++ b/millethead/replication/planning.py
@@ -0,0 +1,237 @@
+"""Which view should follow the present one, and who should propose it. Pure functions of what a member has heard.
+
+Safety does not rest on this module: any proposal that keeps `may_lead` is safe, since a new chain's head holds all that
+was committed. What is decided here is when a change is worth it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from millethead.replication.liveness import ANSWERED_X, SETTLED_S, Liveness
+from millethead.replication.messages import Heartbeat
+from millethead.replication.view import ChainMember, Member, View, next_view
+
+SLOW_DISK_MS = 160  # a member whose syncs take longer leaves the chain where the rest is enough
+WELL_DISK_MS = 80  # and comes back when they take less
+DEAD_VOTER_S = 2.0  # a voter silent for so long is dropped where the majority of the others gains by it
+RANK_DELAY_S = 0.2  # the second in line proposes so much later than the first
+FIRST_EPOCH = 1
+RESTART_WAIT_S = 0.25  # after all were killed at once, the first back waits so long for others
+
+
+@dataclass(frozen=True, slots=True)
+class Myself:
+    """The member that plans. `led_epoch` is the epoch of the last entry of its log."""
+
+    member: Member
+    incarnation: int
+    log_epoch: int
+    started: float
+    leaving: bool
+    disk_ms: int
+    serving: bool  # it is the head, and every member of the chain is reconciled with it
+    least_chain: int  # members that must hold an entry before it is acknowledged
+
+
+def may_lead(view: View, me: Myself) -> bool:
+    """Whether this member's log holds all that was committed up to the view."""
+    place = view.place(me.member)
+    if place is None:
+        return False
+    # a member that was in every chain from the first on has synced all that was ever committed, even if that is nothing
+    return place.joined <= FIRST_EPOCH or me.log_epoch >= place.joined
+
+
+def in_touch_with_majority(now: float, view: View, me: Myself, liveness: Liveness) -> bool:
+    """Whether this member and a majority of the voters hear each other."""
+    joined = sum(voter == me.member or _is_there(now, voter, liveness) for voter in view.voters)
+    return joined >= view.majority()
+
+
+def _is_there(now: float, member: Member, liveness: Liveness) -> bool:
+    identity = liveness.identity(member.address)
+    return identity is not None and identity[0] == member and liveness.joined_both_ways(now, member.address)
+
+
+def head_is_well(now: float, view: View, me: Myself, liveness: Liveness) -> bool:
+    """Whether the head of the view still runs and a majority of the voters that this member hears still hears it."""
+    head = view.head
+    if head is None:
+        return False
+    if head.member == me.member:
+        return head.incarnation == me.incarnation
+    contact = liveness.contact(head.member.address)
+    if contact is not None and now - contact.heard_at <= liveness.suspect_s:
+        beat = contact.heartbeat
+        if beat.sender != head.member or beat.incarnation != head.incarnation:
+            return False
+        if beat.leaving:
+            return False
+        # a head that is heard, but hears no majority itself, cannot commit
+        return _heard_by_head(now, view, contact.ages, liveness.suspect_s)
+    hearing = sum(
+        voter != head.member and liveness.hears(now, voter.address, head.member.address)
+        for voter in view.voters
+        if voter != me.member
+    )
+    return hearing + 1 >= view.majority()
+
+
+def _heard_by_head(now: float, view: View, ages: dict[str, float], suspect_s: float) -> bool:
+    heard = 1 + sum(
+        now - ages.get(voter.address, float("-inf")) <= ANSWERED_X * suspect_s
+        for voter in view.voters
+        if view.head is not None and voter != view.head.member
+    )
+    return heard >= view.majority()
+
+
+def _clique(now: float, me: Myself, liveness: Liveness, candidates: list[Heartbeat]) -> list[Heartbeat]:
+    """Of the candidates, in order, those that hear each other and this member."""
+    chosen: list[Heartbeat] = []
+    for beat in candidates:
+        address = beat.sender.address
+        if all(liveness.pair_joined(now, address, other.sender.address) for other in chosen):
+            chosen.append(beat)
+    return chosen
+
+
+def _candidates(now: float, view: View, me: Myself, liveness: Liveness) -> list[Heartbeat]:
+    """Who could stand behind this member in a chain: first those of the present chain, in its order."""
+    beats = {
+        address: contact.heartbeat
+        for address, contact in liveness.contacts().items()
+        if contact.heartbeat.sender.disk
+        and address != me.member.address
+        and not contact.heartbeat.leaving
+        and liveness.joined_both_ways(now, address)
+    }
+    order: list[Heartbeat] = []
+    restarted: list[Heartbeat] = []
+    for place in view.chain:
+        beat = beats.get(place.member.address)
+        if beat is not None and beat.sender == place.member:
+            del beats[place.member.address]
+            (order if beat.incarnation == place.incarnation else restarted).append(beat)
+    fresh = [
+        beat
+        for address, beat in sorted(beats.items())
+        if beat.sender in view.voters and now - liveness.contacts()[address].since >= SETTLED_S
+    ]
+    return order + restarted + fresh
+
+
+def wanted_chain(now: float, view: View, me: Myself, liveness: Liveness) -> tuple[ChainMember, ...]:
+    """The chain that this member would lead, or hand over if it leaves."""
+    behind = _clique(now, me, liveness, _candidates(now, view, me, liveness))
+    in_chain = {(place.member, place.incarnation) for place in view.chain}
+    enough = me.least_chain - (0 if me.leaving else 1)
+    well: list[Heartbeat] = []
+    slow: list[Heartbeat] = []
+    for beat in behind:
+        limit = SLOW_DISK_MS if (beat.sender, beat.incarnation) in in_chain else WELL_DISK_MS
+        (well if beat.disk_ms <= limit else slow).append(beat)
+    slow.sort(key=lambda beat: beat.disk_ms)
+    while len(well) < enough and slow:
+        well.append(slow.pop(0))
+    chosen = [beat for beat in behind if beat in well]
+    mine = ChainMember(me.member, me.incarnation, 0)
+    places = tuple(ChainMember(beat.sender, beat.incarnation, 0) for beat in chosen)
+    if not _can_hand_over(view, me, chosen):
+        return (mine, *places)
+    if me.leaving or (me.disk_ms > SLOW_DISK_MS and len(chosen) >= me.least_chain):
+        return places
+    return (mine, *places)
+
+
+def _can_hand_over(view: View, me: Myself, chosen: list[Heartbeat]) -> bool:
+    """Whether the first of those chosen is in the chain now, as the process that it is: it holds all."""
+    if not me.serving or not chosen:
+        return False
+    first = chosen[0]
+    return any(place.member == first.sender and place.incarnation == first.incarnation for place in view.chain)
+
+
+def wanted_voters(now: float, view: View, me: Myself, liveness: Liveness) -> tuple[Member, ...]:
+    """The voters of the next view: one more or one less than now at most."""
+    voters = view.voters
+    for voter in voters:
+        identity = liveness.identity(voter.address)
+        if voter != me.member and identity is not None and identity[0].disk not in (0, voter.disk):
+            return tuple(other for other in voters if other != voter)  # its disk is another one: it never returns
+    addresses = {voter.address for voter in voters}
+    for address, contact in sorted(liveness.contacts().items()):
+        beat = contact.heartbeat
+        if (
+            beat.sender.disk
+            and address not in addresses
+            and not beat.leaving
+            and liveness.joined_both_ways(now, address)
+            and now - contact.since >= SETTLED_S
+        ):
+            return (*voters, beat.sender)
+    live = sum(voter == me.member or _is_there(now, voter, liveness) for voter in voters)
+    if len(voters) > 3 and live < len(voters) and _slack(live, len(voters) - 1) > _slack(live, len(voters)):
+        for voter in voters:
+            if voter != me.member and min(liveness.silent_for(now, voter.address), now - me.started) > DEAD_VOTER_S:
+                return tuple(other for other in voters if other != voter)
+    return voters
+
+
+def _slack(live: int, voters: int) -> int:
+    """How many live voters a majority can do without."""
+    return live - (voters // 2 + 1)
+
+
+def plan_as_head(now: float, view: View, me: Myself, liveness: Liveness) -> View | None:
+    """At the head: the view to propose, if any."""
+    if not in_touch_with_majority(now, view, me, liveness):
+        return None
+    chain = wanted_chain(now, view, me, liveness)
+    voters = wanted_voters(now, view, me, liveness)
+    if len(chain) < me.least_chain and len(view.chain) >= me.least_chain and not me.leaving:
+        return None  # a shorter chain could acknowledge nothing: wait for the members to come back
+    same = [(place.member, place.incarnation) for place in chain] == [
+        (place.member, place.incarnation) for place in view.chain
+    ]
+    if same and voters == view.voters:
+        return None
+    chain = tuple(place for place in chain if place.member in voters) or chain
+    return next_view(view, chain, voters)
+
+
+def rank(now: float, view: View, me: Myself, liveness: Liveness) -> int | None:
+    """How many others of the chain come before this member in proposing itself as head: those whose process is still
+    the one of the view come first, then the restarted ones, each in the chain's order. None: it may not lead."""
+    if not may_lead(view, me) or me.leaving or view.place(me.member) is None:
+        return None
+    ahead = 0
+    mine_steady = any(place.member == me.member and place.incarnation == me.incarnation for place in view.chain)
+    before = True
+    for place in view.chain:
+        if place.member == me.member:
+            before = False
+            continue
+        identity = liveness.identity(place.member.address)
+        if identity is None or identity[0] != place.member or not _is_there(now, place.member, liveness):
+            continue
+        if place == view.head and identity[1] == place.incarnation:
+            continue  # the head itself is not well: that is why this member may lead
+        contact = liveness.contact(place.member.address)
+        if contact is not None and contact.heartbeat.leaving:
+            continue
+        steady = identity[1] == place.incarnation
+        if (steady and not mine_steady) or (steady == mine_steady and before):
+            ahead += 1
+    return ahead
+
+
+def plan_as_successor(now: float, view: View, me: Myself, liveness: Liveness) -> View | None:
+    """At a member that takes over from a head that is gone: the view to propose, if any."""
+    if not in_touch_with_majority(now, view, me, liveness):
+        return None
+    chain = wanted_chain(now, view, me, liveness)
+    if chain[0].member != me.member or len(chain) < min(me.least_chain, len(view.voters)):
+        return None
+    return next_view(view, chain)
--- /dev/null
+++ b/millethead/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Internal protocol: typed records packed with `struct`, and framed connections that carry them."""
--- /dev/null
+++ b/millethead/scheduling/starvation.py
@@ -0,0 +1,54 @@
+"""Units that wait although their service is little used.
+
+A unit may wait by choice (for the rack of its data, for another worker than the one it failed on), or because the
+workers with room are avoided for their health or keep it for a larger unit. While less than about half of the service
+is in use, none of that may hold a step back for long of which nothing runs: after `STARVATION_S` only room, labels and
+anti-affinity count. The rules call a job LOST whose step waits for 3 s in that way.
+"""
+
+from __future__ import annotations
+
+from math import inf
+
+from millethead.scheduling.state import Pool, Step
+
+STARVATION_S = 2.0  # leaves a second to commit the assignment and to start the run
+LITTLE_USED = 0.6  # part of the service that is booked; of that, up to a tenth has not begun or has ended already
+BUSY_SPELL_S = 1.0  # a service that is more in use for less than this counts as little used meanwhile
+HEADS = 4  # steps of each lane that are looked at
+
+
+def is_little_used(pool: Pool) -> bool:
+    """Whether so little of a service is in use that nothing may wait there by choice for long."""
+    return pool.hosts.used_share < LITTLE_USED
+
+
+def note_use(pool: Pool, now: float) -> None:
+    """Note since when the service has been little used, short spells apart; called after every change of bookings."""
+    if not is_little_used(pool):
+        pool.busy_since = min(pool.busy_since, now)
+        return
+    if now >= pool.busy_since + BUSY_SPELL_S:
+        pool.little_used_since = now
+    pool.little_used_since = min(pool.little_used_since, now)
+    pool.busy_since = inf
+
+
+def starving_steps(pool: Pool, now: float) -> list[Step]:
+    """Steps of which nothing runs and which have waited too long while the service was little used."""
+    if not is_little_used(pool) or now < pool.little_used_since + STARVATION_S:
+        return []
+    return [step for step in _idle_steps(pool) if now >= step.idle_since + STARVATION_S]
+
+
+def next_starvation(pool: Pool, now: float) -> float:
+    """When the next step may have waited too long; infinite where none can."""
+    if not is_little_used(pool):
+        return inf
+    ends = (max(step.idle_since, pool.little_used_since) + STARVATION_S for step in _idle_steps(pool))
+    return min((end for end in ends if end > now), default=inf)
+
+
+def _idle_steps(pool: Pool) -> list[Step]:
+    """The first steps of each lane of which nothing runs."""
+    return [step for step in pool.first_steps(HEADS) if not step.occupied]
