--- /dev/null
+++ b/tests/test_scrubbing.py
@@ -0,0 +1,390 @@
+"""The background scrub: rot on a disk in service is found and mended, and the disk keeps its entries and identity."""
+
+from __future__ import annotations
+
+import itertools
+import queue
+from functools import partial
+from pathlib import Path
+from unittest import mock
+
+import pytest
+from test_storage import Desk, entries
+
+from millethead.lab.core_storage import FOLDER
+from millethead.lab.core_world import CoreWorld, WorldSettings
+from millethead.lab.disk import SimulatedDisk
+from millethead.programs import disk_maintenance
+from millethead.programs.core_disk import CoreDisk
+from millethead.programs.disk_maintenance import DiskMaintenance
+from millethead.replication.chain import Role
+from millethead.rollout.register import Kept
+from millethead.rollout.store import PLACE, Store
+from millethead.storage import scrubber
+from millethead.storage.identity import IDENTITY_NAME, DiskIdentity, bootstrap_done, load_identity, repair_identity
+from millethead.storage.log import LOG_NAME, CorruptLog, LogFile, Snapshot
+from millethead.storage.records import HEADER_SIZE
+from millethead.storage.scrubber import PASS_PAUSE_S, SLICE_PAUSE_S, Scrubber
+from millethead.storage.writer import LogWriter
+
+LOG = FOLDER / LOG_NAME
+SLICE = 200  # bytes, in place of the scrub's own
+
+
+def log_on(disk: SimulatedDisk) -> LogFile:
+    generations = itertools.count(1)
+    log = LogFile(FOLDER, disk, generation=lambda: next(generations))
+    log.recover()
+    return log
+
+
+def written(disk: SimulatedDisk, batches: int = 6) -> LogFile:
+    log = log_on(disk)
+    for first in range(1, 2 * batches, 2):
+        log.append(entries(first, 2))
+        log.sync()
+    return log
+
+
+def read_through(log: LogFile, most: int = SLICE) -> int:
+    """A whole pass; the number of its slices."""
+    scrub = log.begin_scrub()
+    slices = 1
+    while not log.scrub_slice(scrub, most):
+        slices += 1
+    return slices
+
+
+# ---- a pass over the log ---------------------------------------------------------------------------------
+
+
+def test_a_pass_in_slices_finds_any_flipped_bit():
+    disk = SimulatedDisk(1)
+    log = written(disk)
+    assert read_through(log) > 3
+    for at in range(log.size):
+        disk.flip_bit(LOG, at, at % 8)
+        with pytest.raises(CorruptLog):
+            read_through(log)
+        disk.flip_bit(LOG, at, at % 8)
+    read_through(log)
+
+
+def test_what_is_appended_during_a_pass_is_left_to_the_next_one():
+    disk = SimulatedDisk(1)
+    log = written(disk)
+    scrub, end = log.begin_scrub(), log.size
+    log.append(entries(13, 2))
+    disk.flip_bit(LOG, end + HEADER_SIZE + 3)
+    while not log.scrub_slice(scrub, SLICE):
+        pass
+    with pytest.raises(CorruptLog):
+        read_through(log)
+
+
+def test_a_pass_over_a_file_that_was_replaced_is_over():
+    disk = SimulatedDisk(1)
+    log = written(disk)
+    scrub = log.begin_scrub()
+    assert not log.scrub_slice(scrub, SLICE)
+    log.rewrite(Snapshot(1, 12, b"state"), ())
+    assert log.scrub_slice(scrub, SLICE)
+    read_through(log)
+
+
+def test_a_pass_reads_no_further_than_a_slice_and_the_record_it_ends_in():
+    disk = SimulatedDisk(1)
+    log = written(disk)
+    scrub = log.begin_scrub()
+    log.scrub_slice(scrub, 1)
+    first = scrub.cursor.tail.offset
+    log.scrub_slice(scrub, 1)
+    assert 0 < scrub.cursor.tail.offset - first < 2 * HEADER_SIZE + 200
+
+
+# ---- when the passes come --------------------------------------------------------------------------------
+
+
+class Scrubbing(Desk):
+    """A writer stepped by hand, its log, and a scrub of it; `found` is what it has said."""
+
+    def __init__(self):
+        super().__init__()
+        self.found, self.begun = [], 0
+        self.log = written(self.disk)
+        self.writer = LogWriter(self.log, self.loop.post, self.failures.append, clock=lambda: self.now, threaded=False)
+        self.scrubber = Scrubber(self.log, self.writer.run, self.begin, self.found.append, lambda: self.now)
+
+    def begin(self):
+        self.begun += 1
+
+    def after(self, seconds):
+        self.now += seconds
+        self.scrubber.tick()
+        while self.writer.step():
+            pass
+        self.loop.run()
+
+
+@pytest.fixture
+def small_slices(monkeypatch):
+    monkeypatch.setattr(scrubber, "SLICE_BYTES", SLICE)
+
+
+def test_a_pass_begins_after_its_pause_and_has_a_pause_between_slices(small_slices):
+    desk = Scrubbing()
+    desk.after(PASS_PAUSE_S - 1)
+    assert desk.begun == 0
+    desk.after(1)
+    assert (desk.begun, desk.scrubber.passes) == (1, 0)
+    desk.after(SLICE_PAUSE_S / 2)
+    slices = 1
+    while not desk.scrubber.passes:
+        desk.after(SLICE_PAUSE_S)
+        slices += 1
+    assert slices == read_through(desk.log)
+    desk.after(PASS_PAUSE_S / 2)
+    assert desk.begun == 1
+    desk.after(PASS_PAUSE_S)
+    assert desk.begun == 2 and desk.found == []
+
+
+def test_one_slice_at_a_time_is_with_the_writer(small_slices):
+    desk = Scrubbing()
+    desk.now += PASS_PAUSE_S
+    for _ in range(5):
+        desk.now += SLICE_PAUSE_S
+        desk.scrubber.tick()
+    assert desk.writer.step() and not desk.writer.step()
+
+
+def test_damage_is_told_once_a_pass_and_breaks_no_writer(small_slices):
+    desk = Scrubbing()
+    desk.disk.flip_bit(LOG, desk.log.size - 1)
+    desk.after(PASS_PAUSE_S)
+    while not desk.scrubber.passes:
+        desk.after(SLICE_PAUSE_S)
+    assert len(desk.found) == 1 and not desk.writer.broken
+    desk.writer.rewrite(Snapshot(1, 12, b"state"), ())
+    desk.after(0.0)
+    desk.after(PASS_PAUSE_S)
+    while desk.scrubber.passes < 2:
+        desk.after(SLICE_PAUSE_S)
+    assert len(desk.found) == 1
+
+
+def test_a_disk_that_cannot_be_read_counts_as_damage():
+    desk = Scrubbing()
+
+    def refuse(operation, path):
+        raise OSError(5, "unreadable")
+
+    desk.disk.before = refuse
+    desk.after(PASS_PAUSE_S)
+    assert len(desk.found) == 1 and not desk.writer.broken
+
+
+# ---- what a member does about it -------------------------------------------------------------------------
+
+
+class Log:
+    def __init__(self, count: int) -> None:
+        self.entries = entries(1, count)
+
+    def compact(self) -> Snapshot:
+        self.entries = []
+        return Snapshot(1, 99, b"all")
+
+
+class Chain:
+    def __init__(self, count: int = 0, role: Role = Role.HEAD) -> None:
+        self.log, self.role = Log(count), role
+
+
+class Disk:
+    """What maintenance asks of a disk, written down."""
+
+    def __init__(self) -> None:
+        self.size, self.busy = 1000, False
+        self.done: list[str] = []
+        self.damaged = None
+
+    def rewrite(self, snapshot: Snapshot) -> None:
+        self.done.append(f"rewrite {snapshot.sequence}")
+
+    def probe(self) -> None:
+        self.done.append("probe")
+
+    def scrubber(self, damaged):
+        self.damaged = damaged
+        return mock.Mock()
+
+
+def test_a_damaged_log_is_rewritten_from_memory_at_once():
+    disk = Disk()
+    DiskMaintenance(disk, Chain(3), lambda: 0.0)
+    disk.damaged("bad bytes")
+    assert disk.done == ["rewrite 99"]
+
+
+def test_a_long_log_is_rewritten_and_a_short_one_is_not():
+    disk, chain = Disk(), Chain(disk_maintenance.COMPACT_ENTRIES)
+    maintenance = DiskMaintenance(disk, chain, lambda: 0.0)
+    maintenance.tick()
+    assert disk.done == []
+    chain.log = Log(disk_maintenance.COMPACT_ENTRIES + 1)
+    maintenance.tick()
+    assert disk.done == ["rewrite 99"]
+    disk.size, chain.log = disk_maintenance.COMPACT_BYTES + 1, Log(disk_maintenance.COMPACT_BYTES_ENTRIES)
+    maintenance.tick()
+    assert len(disk.done) == 1
+    chain.log = Log(disk_maintenance.COMPACT_BYTES_ENTRIES + 1)
+    maintenance.tick()
+    assert len(disk.done) == 2
+
+
+def test_only_a_member_outside_the_chain_times_writes_and_only_while_nothing_is_queued():
+    disk, chain, now = Disk(), Chain(), 10.0
+    maintenance = DiskMaintenance(disk, chain, lambda: now)
+    maintenance.tick()
+    assert disk.done == []
+    chain.role = Role.OUTSIDE
+    maintenance.tick()
+    maintenance.tick()
+    assert disk.done == ["probe"]
+    now, disk.busy = 11.0, True
+    maintenance.tick()
+    assert disk.done == ["probe"]
+
+
+# ---- a whole core ----------------------------------------------------------------------------------------
+
+
+def with_disk(world: CoreWorld) -> list:
+    return [machine for machine in world.machines() if machine.disk is not None]
+
+
+def identities(world: CoreWorld) -> list[int]:
+    return [machine.process.storage.identity.disk_id for machine in with_disk(world)]
+
+
+def play_rot(seed: int) -> tuple[str, bool]:
+    """The fault, if any, and whether every disk is still the one it was."""
+    world = CoreWorld(seed, WorldSettings(trouble_s=14.0, by_chance=False, members=((3, 1),)))
+    before: list[int] = []
+    world.timeline.after(1.9, lambda: before.extend(identities(world)))
+    for number, machine in enumerate(with_disk(world)):
+        world.timeline.after(2.0 + 4.0 * number, partial(world.rot_in_service, machine, 0.2))
+    fault = world.play().fault
+    return fault, identities(world) == before
+
+
+@pytest.fixture
+def frequent_passes(monkeypatch):
+    monkeypatch.setattr(scrubber, "PASS_PAUSE_S", 0.3)
+
+
+# the log is so short here that it is seldom rewritten for its length before the scrub comes to it
+@pytest.fixture
+def long_logs(monkeypatch):
+    monkeypatch.setattr("millethead.lab.core_machine.COMPACT_ENTRIES", 100_000)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_rot_on_every_member_in_turn_costs_no_disk(seed, frequent_passes, long_logs):
+    assert play_rot(seed) == ("", True)
+
+
+def test_without_the_scrub_the_same_rot_costs_disks(long_logs):
+    assert [believed for _, believed in map(play_rot, range(3))] == [False] * 3
+
+
+def test_a_scrub_that_mends_nothing_is_noticed(frequent_passes, long_logs, monkeypatch):
+    monkeypatch.setattr(DiskMaintenance, "_rewrite_damaged", lambda self, why: None)
+    assert not all(believed for _, believed in map(play_rot, range(3)))
+
+
+# ---- the files beside the log ----------------------------------------------------------------------------
+
+
+def flip(path: Path, offset: int) -> None:
+    data = bytearray(path.read_bytes())
+    data[offset] ^= 1
+    path.write_bytes(data)
+
+
+def kept(number: int) -> Kept:
+    return Kept((number, "a"), (number, "a"), b"view %d" % number)
+
+
+def saved(folder: Path) -> Store:
+    store = Store(folder, "view")
+    store.load()
+    store.save(kept(1))
+    store.save(kept(2))
+    return store
+
+
+def test_the_newest_promise_is_saved_anew_where_it_has_gone_bad(tmp_path):
+    store = saved(tmp_path)
+    assert not store.repair()
+    flip(store.path, 20)  # the second save is in the first place
+    assert Store(tmp_path, "view").load() == kept(1)  # an older promise: what must not be taken for the newest
+    assert store.repair()
+    assert Store(tmp_path, "view").load() == kept(2)
+    assert not store.repair()
+
+
+def test_the_older_promise_may_go_bad(tmp_path):
+    store = saved(tmp_path)
+    flip(store.path, PLACE + 20)
+    assert not store.repair()
+    assert Store(tmp_path, "view").load() == kept(2)
+
+
+def test_a_store_that_was_loaded_knows_what_should_be_there(tmp_path):
+    saved(tmp_path)
+    store = Store(tmp_path, "view")
+    store.load()
+    flip(store.path, 20)
+    assert store.repair()
+    assert Store(tmp_path, "view").load() == kept(2)
+
+
+@pytest.mark.parametrize("damage", [lambda path: flip(path, 6), Path.unlink], ids=["bad", "missing"])
+def test_an_identity_that_has_gone_bad_is_written_anew(tmp_path, damage):
+    identity = load_identity(tmp_path, True, lambda: 7)
+    assert not repair_identity(tmp_path, identity)
+    damage(tmp_path / IDENTITY_NAME)
+    assert repair_identity(tmp_path, identity)
+    assert load_identity(tmp_path, False, lambda: 8) == identity
+
+
+def test_a_repair_does_not_bring_the_first_start_back(tmp_path):
+    """The flag is cleared in service; an identity written anew from the one that was read would set it again."""
+    disk = CoreDisk(tmp_path, True, lambda: 7)
+    posted = []
+    disk.start(posted.append, lambda: 0.0)
+    disk.bootstrap_done()
+    disk.close(5.0)
+    flip(tmp_path / IDENTITY_NAME, 6)
+    disk._repair_small_files()
+    assert load_identity(tmp_path, True, lambda: 8) == DiskIdentity(7, False)
+    assert not repair_identity(tmp_path, bootstrap_done(tmp_path, DiskIdentity(7, True)))
+
+
+def test_a_disk_in_service_mends_its_log_and_its_small_files(tmp_path, monkeypatch):
+    """The program's own disk, on the operating system's files, its writer's thread at work."""
+    monkeypatch.setattr(scrubber, "PASS_PAUSE_S", 0.0)
+    posted: queue.Queue = queue.Queue()
+    disk = CoreDisk(tmp_path, False, lambda: 7)
+    disk.start(posted.put, lambda: 1.0)
+    maintenance = DiskMaintenance(disk, Chain(), lambda: 1.0)
+    flip(tmp_path / IDENTITY_NAME, 6)
+    flip(tmp_path / LOG_NAME, HEADER_SIZE - 1)
+    maintenance.tick()
+    posted.get(timeout=10.0)()
+    disk.close(10.0)
+    again = CoreDisk(tmp_path, False, lambda: 8)
+    assert again.identity == DiskIdentity(7, False)
+    assert again.recovered.snapshot == Snapshot(1, 99, b"all")
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,593 @@
+"""The HTTP server on its sockets: byte exchanges, limits, deferred answers, drain, and whatever bytes may come."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+import bottle
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from millethead.web import dispatch as dispatch_module
+from millethead.web import server as server_module
+from millethead.web.answers import format_answer
+from millethead.web.server import Answer, Deferred, HttpLimits, HttpServer, json_answer, request_body
+
+PATIENCE_S = 10.0  # a test that waits longer has failed
+SOON_S = 0.05  # a limit that a test wants to be reached
+GET = b"GET /state/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+STATE = b'HTTP/1.1 200 OK\r\nContent-Length: 19\r\nContent-Type: application/json\r\n\r\n{"state":"running"}'
+
+
+class Site:
+    """An application with a handler of each kind, and its server."""
+
+    def __init__(self, limits: HttpLimits) -> None:
+        self.clients: list[Client] = []
+        self.deferred: list[Deferred] = []
+        self.asked = asyncio.Event()
+        self.app = bottle.Bottle()
+        self.app.get("/state/<number:int>", callback=lambda number: json_answer(200, {"state": "running"}))
+        self.app.post("/echo", callback=lambda: Answer(200, request_body(), "text/plain"))
+        self.app.post("/json", callback=lambda: json_answer(200, bottle.request.json))
+        self.app.get("/later", callback=self._later)
+        self.app.get("/fails", callback=lambda: 1 // 0)
+        self.app.get("/split", callback=lambda: Answer(200, headers=(("X-A", "1\r\nX-B: 2"),)))
+        self.app.get("/odd", callback=lambda: object())
+        self.app.get("/dict", callback=lambda: {"a": 1})
+        self.app.get("/abort", callback=lambda: bottle.abort(422, "not so"))
+        self.app.get("/none", callback=lambda: Answer(204))
+        self.app.get("/name/<name>", callback=lambda name: json_answer(200, [name, bottle.request.query.q]))
+        self.app.get("/big", callback=lambda: Answer(200, b"x" * (3 << 20), "text/plain"))
+        self.app.get("/host", callback=lambda: Answer(200, bottle.request.get_header("Host").encode()))
+        self.server = HttpServer(self.app, limits)
+
+    def _later(self) -> Deferred:
+        self.deferred.append(Deferred())
+        self.asked.set()
+        return self.deferred[-1]
+
+    @property
+    def port(self) -> int:
+        return self.server.addresses[0][1]
+
+    async def connect(self) -> Client:
+        self.clients.append(Client(*await asyncio.open_connection("127.0.0.1", self.port)))
+        return self.clients[-1]
+
+    async def converse(self, data: bytes) -> bytes:
+        """Everything the server says to `data` until it closes."""
+        client = await self.connect()
+        client.writer.write(data)
+        said = await client.rest()
+        client.writer.close()
+        return said
+
+
+class Client:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def ask(self, data: bytes) -> tuple[int, bytes]:
+        self.writer.write(data)
+        return await self.answer()
+
+    async def answer(self) -> tuple[int, bytes]:
+        """Status and body of the next answer."""
+        async with asyncio.timeout(PATIENCE_S):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = next((int(line[15:]) for line in head.split(b"\r\n") if line.startswith(b"Content-Length")), 0)
+            return int(head.split()[1]), await self.reader.readexactly(length)
+
+    async def close(self) -> None:
+        self.writer.close()
+        with suppress(ConnectionError):
+            await self.writer.wait_closed()
+
+    async def rest(self) -> bytes:
+        async with asyncio.timeout(PATIENCE_S):
+            return await self.reader.read()
+
+
+@asynccontextmanager
+async def running(**limits: Any) -> AsyncIterator[Site]:
+    site = Site(HttpLimits(**limits))
+    await site.server.listen("127.0.0.1", 0)
+    try:
+        yield site
+    finally:
+        for client in site.clients:
+            await client.close()
+        await site.server.drain(0.0)
+
+
+def refused(status_line: str, why: str) -> bytes:
+    body = json.dumps({"error": why}, separators=(",", ":"))
+    return (
+        f"HTTP/1.1 {status_line}\r\nContent-Length: {len(body)}\r\nContent-Type: application/json\r\n"
+        f"Connection: close\r\n\r\n{body}"
+    ).encode()
+
+
+BAD = "400 Bad Request"
+LARGE = "413 Request Entity Too Large"
+POST = b"POST /echo HTTP/1.1\r\nHost: h\r\n"
+EXCHANGES = {
+    "zeros": (b"\0\0\0\0", refused(BAD, "a malformed request line")),
+    "tls": (b"\x16\x03\x01\x02\0\x01\0", refused(BAD, "a malformed request line")),
+    "words": (b"hello there\r\n", refused(BAD, "a malformed request line")),
+    "line feeds alone": (b"GET / HTTP/1.1\nHost: h\n\n", refused(BAD, "a malformed request line")),
+    "http/2": (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", refused(BAD, "not HTTP/1.1")),
+    "no host": (b"GET / HTTP/1.1\r\n\r\n", refused(BAD, "no host")),
+    "two hosts": (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", refused(BAD, "host is given twice")),
+    "folded field": (b"GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n", refused(BAD, "a malformed field")),
+    "control in a field": (b"GET / HTTP/1.1\r\nHost: a\0\r\n\r\n", refused(BAD, "a malformed field")),
+    "no path": (b"GET h HTTP/1.1\r\nHost: h\r\n\r\n", refused(BAD, "the target is neither a path nor a URL")),
+    "path not in utf-8": (b"GET /%ff HTTP/1.1\r\nHost: h\r\n\r\n", refused(BAD, "the path is not in UTF-8")),
+    "lower-case method": (b"get / HTTP/1.1\r\nHost: h\r\n\r\n", refused(BAD, "the method is not in upper case")),
+    "length of letters": (POST + b"Content-Length: x\r\n\r\n", refused(BAD, "a malformed content-length")),
+    "length below 0": (POST + b"Content-Length: -1\r\n\r\n", refused(BAD, "a malformed content-length")),
+    "length and chunks": (
+        POST + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        refused(BAD, "both content-length and transfer-encoding"),
+    ),
+    "unknown coding": (
+        POST + b"Transfer-Encoding: gzip\r\n\r\n",
+        refused(BAD, "a transfer-encoding other than chunked"),
+    ),
+    "bad chunk size": (POST + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", refused(BAD, "a malformed chunk size")),
+    "bad chunk end": (
+        POST + b"Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n",
+        refused(BAD, "a chunk does not end where it says"),
+    ),
+    "bad trailer": (POST + b"Transfer-Encoding: chunked\r\n\r\n0\r\nx y\r\n\r\n", refused(BAD, "a malformed field")),
+    "body too large": (POST + b"Content-Length: 1001\r\n\r\n", refused(LARGE, "the body exceeds 1000 bytes")),
+    "length beyond numbers": (
+        POST + b"Content-Length: " + b"9" * 300 + b"\r\n\r\n",
+        refused(LARGE, "the body exceeds 1000 bytes"),
+    ),
+    "chunk too large": (
+        POST + b"Transfer-Encoding: chunked\r\n\r\n3e9\r\n",
+        refused(LARGE, "the body exceeds 1000 bytes"),
+    ),
+    "chunks too large": (
+        POST + b"Transfer-Encoding: chunked\r\n\r\n3e8\r\n" + b"x" * 1000 + b"\r\n1\r\n",
+        refused(LARGE, "the body exceeds 1000 bytes"),
+    ),
+    "head too large": (
+        b"GET / HTTP/1.1\r\nX: " + b"x" * 2000,
+        refused("431 Request Header Fields Too Large", "the head of the request exceeds 2000 bytes"),
+    ),
+    "whole head too large": (
+        b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2000 + b"\r\n\r\n",
+        refused("431 Request Header Fields Too Large", "the head of the request exceeds 2000 bytes"),
+    ),
+    "expectation": (
+        POST + b"Expect: more\r\nContent-Length: 1\r\n\r\n",
+        refused("417 Expectation Failed", "an expectation that cannot be met"),
+    ),
+    "old version": (
+        b"GET /state/1 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+        STATE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"),
+    ),
+    "close": (
+        b"GET /state/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        STATE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"),
+    ),
+}
+
+
+@pytest.mark.parametrize(("data", "expected"), EXCHANGES.values(), ids=EXCHANGES.keys())
+async def test_exchange_that_ends_the_connection(data: bytes, expected: bytes) -> None:
+    async with running(max_header_bytes=2000, max_body_bytes=1000) as site:
+        assert await site.converse(data) == expected
+
+
+async def test_connection_is_kept_and_requests_in_a_row_are_answered_in_order() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(b"\r\n" + GET + GET + POST + b"Content-Length: 2\r\n\r\nhi" + GET)
+        answers = [await client.answer() for _ in range(4)]
+        assert [body for _, body in answers] == [b'{"state":"running"}'] * 2 + [b"hi"] + [b'{"state":"running"}']
+
+
+async def test_request_may_come_byte_by_byte() -> None:
+    async with running() as site:
+        client = await site.connect()
+        for at in range(len(GET)):
+            client.writer.write(GET[at : at + 1])
+            await asyncio.sleep(0)
+        assert await client.answer() == (200, b'{"state":"running"}')
+
+
+async def test_unknown_path_and_wrong_method_keep_the_connection() -> None:
+    async with running() as site:
+        client = await site.connect()
+        assert await client.ask(GET.replace(b"state/1", b"x")) == (404, b'{"error":"no such path"}')
+        client.writer.write(GET.replace(b"GET", b"PATCH"))
+        why = b'{"error":"the path does not take this method"}'
+        head = await client.reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 405 ") and b"Allow: GET\r\n" in head
+        assert await client.reader.readexactly(len(why)) == why
+
+
+async def test_head_tells_the_length_alone() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(GET.replace(b"GET", b"HEAD") + GET)
+        assert (await client.reader.readexactly(len(STATE) - 19)) == STATE[:-19]
+        assert await client.reader.readexactly(len(STATE)) == STATE
+
+
+async def test_chunked_body_is_put_together() -> None:
+    async with running() as site:
+        client = await site.connect()
+        data = POST + b"Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n1\r\nd\r\n0\r\nT: 1\r\n\r\n"
+        assert await client.ask(data + GET) == (200, b"abcd")
+        assert (await client.answer())[0] == 200
+
+
+async def test_body_of_the_greatest_size_comes_whole_and_as_json() -> None:
+    async with running() as site:
+        client = await site.connect()
+        body = json.dumps("x" * (262144 - 2)).encode()
+        head = b"POST /json HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: 262144\r\n\r\n"
+        assert await client.ask(head + body) == (200, body)
+
+
+async def test_expectation_is_met_before_the_body_comes() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(POST + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        assert await client.ask(b"hi") == (200, b"hi")
+
+
+async def test_expectation_of_a_body_too_large_is_refused_at_once() -> None:
+    async with running(max_body_bytes=1) as site:
+        said = await site.converse(POST + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        assert said.startswith(b"HTTP/1.1 413 ")
+
+
+async def test_path_is_decoded_and_a_whole_url_is_understood() -> None:
+    async with running() as site:
+        client = await site.connect()
+        asked = b"GET /name/%C3%A4%2Bb?q=%2B HTTP/1.1\r\nHost: h\r\n\r\n"
+        assert await client.ask(asked) == (200, '["ä+b","+"]'.encode())
+        asked = b"GET http://h/name/n?q=1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        assert await client.ask(asked) == (200, b'["n","1"]')
+
+
+async def test_field_with_an_underscore_does_not_pass_for_another() -> None:
+    async with running() as site:
+        client = await site.connect()
+        environ: list[object] = []
+        site.app.get("/seen", callback=lambda: json_answer(200, environ.append(bottle.request.get_header("X-A"))))
+        await client.ask(b"GET /seen HTTP/1.1\r\nHost: h\r\nX_A: 1\r\n\r\n")
+        assert environ == [None]
+
+
+async def test_what_bottle_handlers_return_besides() -> None:
+    async with running() as site:
+        client = await site.connect()
+        assert await client.ask(GET.replace(b"state/1", b"dict")) == (200, b'{"a": 1}')
+        assert await client.ask(GET.replace(b"state/1", b"abort")) == (422, b'{"error":"not so"}')
+        assert await client.ask(GET.replace(b"state/1", b"host")) == (200, b"h")
+        client.writer.write(GET.replace(b"state/1", b"none"))
+        assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 204 No Content\r\n\r\n"
+
+
+@pytest.mark.parametrize("path", [b"fails", b"odd", b"split"])
+async def test_failing_handler_is_answered_with_the_id_of_its_log_line(
+    path: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[dict[str, object]] = []
+
+    class Log:
+        def exception(self, event: str, **values: object) -> None:
+            lines.append({"event": event, **values})
+
+    monkeypatch.setattr(dispatch_module, "log", Log())
+    async with running() as site:
+        client = await site.connect()
+        status, body = await client.ask(GET.replace(b"state/1", path))
+        assert status == 500 and lines[0]["event"] == "handler_failed" and lines[0]["path"] == "/" + path.decode()
+        assert json.loads(body) == {"error": f"internal error {lines[0]['error_id']}"}
+        assert (await client.ask(GET))[0] == 200
+
+
+async def test_answer_larger_than_any_buffer_comes_whole() -> None:
+    async with running() as site:
+        client = await site.connect()
+        assert await client.ask(GET.replace(b"state/1", b"big")) == (200, b"x" * (3 << 20))
+        assert (await client.ask(GET))[0] == 200
+
+
+# ---- times and numbers -------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("data", [b"G", GET[:-2], b"\r"])
+async def test_head_that_does_not_end_in_time_is_told(data: bytes) -> None:
+    async with running(header_timeout_s=SOON_S) as site:
+        said = await site.converse(data)
+        assert said == refused("408 Request Timeout", "the head of the request came too slowly")
+
+
+async def test_body_that_does_not_end_in_time_is_told() -> None:
+    async with running(body_timeout_s=SOON_S) as site:
+        said = await site.converse(POST + b"Content-Length: 2\r\n\r\nh")
+        assert said == refused("408 Request Timeout", "the body of the request came too slowly")
+
+
+async def test_idle_connection_ends_without_a_word() -> None:
+    async with running(idle_timeout_s=SOON_S) as site:
+        assert await site.converse(b"") == b""
+        assert await site.converse(GET) == STATE
+
+
+async def test_limits_can_be_replaced() -> None:
+    async with running() as site:
+        client = await site.connect()
+        assert await client.ask(POST + b"Content-Length: 2\r\n\r\nhi") == (200, b"hi")
+        site.server.limits = HttpLimits(max_body_bytes=1)
+        assert (await client.ask(POST + b"Content-Length: 2\r\n\r\n"))[0] == 413
+
+
+async def test_connections_are_bounded_and_idle_ones_make_room() -> None:
+    async with running(max_connections=2) as site:
+        first, second = await site.connect(), await site.connect()
+        assert (await first.ask(GET))[0] == (await second.ask(GET))[0] == 200
+        third = await site.connect()
+        assert (await third.ask(GET))[0] == 200
+        assert await first.rest() == b"" and site.server.open_connections == 2
+
+
+async def test_no_room_is_made_where_all_wait_for_their_answers() -> None:
+    async with running(max_connections=1) as site:
+        first = await site.connect()
+        first.writer.write(GET.replace(b"state/1", b"later"))
+        await site.asked.wait()
+        assert await site.converse(b"") == b""
+        site.deferred[0].complete(Answer(200, b"now"))
+        assert await first.answer() == (200, b"now")
+
+
+async def test_port_that_is_taken_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "BIND_RETRY_S", 0.0)
+    async with running() as site:
+        site.server.stop_listening()
+        predecessor = socket.create_server(("127.0.0.1", 0))
+        listening = asyncio.ensure_future(site.server.listen(*predecessor.getsockname()))
+        await asyncio.sleep(0)
+        assert not listening.done()
+        predecessor.close()
+        await asyncio.wait_for(listening, PATIENCE_S)
+        assert (await (await site.connect()).ask(GET))[0] == 200
+
+
+async def test_port_that_stays_taken_is_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "BIND_PATIENCE_S", 0.0)
+    with socket.create_server(("127.0.0.1", 0)) as other, pytest.raises(OSError):
+        await Site(HttpLimits()).server.listen(*other.getsockname())
+
+
+# ---- deferred answers --------------------------------------------------------------------------------
+
+
+LATER = GET.replace(b"state/1", b"later")
+
+
+async def test_deferred_answer_goes_out_when_it_is_complete() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(LATER + GET)
+        await site.asked.wait()
+        deferred = site.deferred[0]
+        deferred.complete(Answer(201, b"first"))
+        deferred.complete(Answer(500, b"second"))
+        assert deferred.done and not deferred.gone
+        assert await client.answer() == (201, b"first")
+        assert (await client.answer())[0] == 200
+
+
+async def test_deferred_answer_that_is_complete_already() -> None:
+    async with running() as site:
+        deferred = Deferred()
+        deferred.complete(Answer(202))
+        site.app.get("/done", callback=lambda: deferred)
+        assert (await (await site.connect()).ask(GET.replace(b"state/1", b"done")))[0] == 202
+
+
+async def test_client_that_leaves_is_told_to_the_handler() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(LATER)
+        await site.asked.wait()
+        left = asyncio.Event()
+        site.deferred[0].on_gone = left.set
+        client.writer.close()
+        await asyncio.wait_for(left.wait(), PATIENCE_S)
+        assert site.deferred[0].gone and not site.deferred[0].done
+        site.deferred[0].complete(Answer(200))
+        assert not site.deferred[0].done
+
+
+async def test_client_that_leaves_after_its_answer_is_not_told() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(LATER)
+        await site.asked.wait()
+        calls: list[bool] = []
+        site.deferred[0].on_gone = lambda: calls.append(True)
+        site.deferred[0].complete(Answer(200))
+        await client.answer()
+        client.writer.close()
+        await site.server.drain(PATIENCE_S)
+        assert not calls and not site.deferred[0].gone
+
+
+async def test_failing_on_gone_is_contained() -> None:
+    deferred = Deferred(on_gone=lambda: [][0])
+    settled: list[bool] = []
+    deferred.when_settled(lambda: settled.append(True))
+    deferred.client_left()
+    assert deferred.gone and settled == [True]
+
+
+# ---- drain -------------------------------------------------------------------------------------------
+
+
+async def test_drain_closes_idle_connections_and_refuses_new_ones() -> None:
+    async with running() as site:
+        port, idle = site.port, await site.connect()
+        assert (await idle.ask(GET))[0] == 200
+        drain = asyncio.ensure_future(site.server.drain(PATIENCE_S))
+        assert await idle.rest() == b""
+        idle.writer.close()
+        await asyncio.wait_for(drain, PATIENCE_S)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", port)
+
+
+async def test_listening_may_begin_again() -> None:
+    async with running() as site:
+        client = await site.connect()
+        site.server.stop_listening()
+        assert site.server.addresses == [] and (await client.ask(GET))[0] == 200
+        await site.server.listen("127.0.0.1", 0)
+        assert (await (await site.connect()).ask(GET))[0] == 200
+
+
+async def test_drain_finishes_what_was_read_and_what_is_being_read() -> None:
+    async with running() as site:
+        waiting, sending = await site.connect(), await site.connect()
+        assert (await sending.ask(GET))[0] == 200
+        sending.writer.write(GET[:20])
+        waiting.writer.write(LATER)
+        await site.asked.wait()
+        drain = asyncio.ensure_future(site.server.drain(PATIENCE_S))
+        await asyncio.sleep(0)
+        sending.writer.write(GET[20:])
+        said = await sending.rest()
+        assert said.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in said
+        sending.writer.close()
+        assert not drain.done()
+        site.deferred[0].complete(Answer(200, b"late"))
+        said = await waiting.rest()
+        assert said.endswith(b"late") and b"Connection: close" in said
+        waiting.writer.close()
+        await asyncio.wait_for(drain, PATIENCE_S)
+        assert site.server.open_connections == 0
+
+
+async def test_drain_serves_who_stands_in_the_queue() -> None:
+    async with running() as site:
+        with socket.create_connection(("127.0.0.1", site.port)) as client:
+            client.sendall(GET)
+            client.setblocking(False)
+            drain = asyncio.ensure_future(site.server.drain(PATIENCE_S))
+            said = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(client, 4096), PATIENCE_S)
+            assert said.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in said
+        await asyncio.wait_for(drain, PATIENCE_S)
+
+
+async def test_drain_answers_every_request_in_a_row() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(LATER + GET)
+        await site.asked.wait()
+        drain = asyncio.ensure_future(site.server.drain(PATIENCE_S))
+        await asyncio.sleep(0)
+        site.deferred[0].complete(Answer(200, b"late"))
+        said = await client.rest()
+        assert said.count(b"HTTP/1.1 200 ") == 2 and said.count(b"Connection: close") == 1
+        client.writer.close()
+        await asyncio.wait_for(drain, PATIENCE_S)
+
+
+async def test_drain_lets_new_connections_ask_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "FIRST_REQUEST_GRACE_S", SOON_S)
+    async with running() as site:
+        silent = await site.connect()
+        async with asyncio.timeout(PATIENCE_S):
+            while not site.server.open_connections:
+                await asyncio.sleep(0)
+        drain = asyncio.ensure_future(site.server.drain(PATIENCE_S))
+        assert await silent.rest() == b""
+        silent.writer.close()
+        await asyncio.wait_for(drain, PATIENCE_S)
+
+
+async def test_drain_cuts_what_takes_too_long() -> None:
+    async with running() as site:
+        client = await site.connect()
+        client.writer.write(LATER)
+        await site.asked.wait()
+        left = asyncio.Event()
+        site.deferred[0].on_gone = left.set
+        await site.server.drain(SOON_S)
+        assert await client.rest() == b""
+        await asyncio.wait_for(left.wait(), PATIENCE_S)
+
+
+# ---- whatever may come -------------------------------------------------------------------------------
+
+
+def test_answers_that_http_cannot_carry_are_refused() -> None:
+    for answer in (Answer(100), Answer(999), Answer(200, headers=(("a b", "c"),))):
+        with pytest.raises(ValueError):
+            format_answer(answer, keep=True, head_only=False)
+
+
+PIECES = st.sampled_from(
+    [
+        b"GET ",
+        b"POST ",
+        b"/echo",
+        b"/state/1",
+        b" HTTP/1.1",
+        b"\r\n",
+        b"\r\n\r\n",
+        b"Host: h\r\n",
+        b"Content-Length: ",
+        b"5",
+        b"-1",
+        b"Transfer-Encoding: chunked\r\n",
+        b"0\r\n\r\n",
+        b"%",
+        b"%zz",
+        b"Expect: 100-continue\r\n",
+        b"Connection: close\r\n",
+        b"http://",
+        b"[",
+        b"?",
+        b"\xff",
+        b"\0",
+    ]
+)
+JUNK = st.lists(st.one_of(PIECES, st.binary(max_size=40)), max_size=12).map(b"".join)
+
+
+PREFIXES = st.sampled_from([b"", GET, GET[:20], POST, POST + b"Transfer-Encoding: chunked\r\n\r\n"])
+
+
+async def survives(data: bytes, prefix: bytes) -> None:
+    limits = {"header_timeout_s": 0.01, "body_timeout_s": 0.01, "idle_timeout_s": 0.01}
+    async with running(max_header_bytes=2000, max_body_bytes=1000, **limits) as site:
+        said = await site.converse(prefix + data)
+        assert not said or said.startswith(b"HTTP/1.1 ")
+        assert b"HTTP/1.1 5" not in said
+        site.server.limits = HttpLimits()
+        assert await (await site.connect()).ask(GET) == (200, b'{"state":"running"}')
+
+
+@settings(max_examples=150, deadline=None)
+@given(JUNK, PREFIXES)
+def test_any_bytes_end_in_an_answer_or_a_close(data: bytes, prefix: bytes) -> None:
+    asyncio.run(survives(data, prefix))
