Every server drops connection requests before it closes: a client was reset as one ended

One function closes all listeners now; what is half-way through its handshake has 10 ms; a listener that a successor has too keeps taking connections.

--- a/millethead/net/accept.py
+++ b/millethead/net/accept.py
@@ -42,6 +42,7 @@
 ACCEPT_PAUSE = 0.1  # s without accepting once the system has no descriptor left
 EXHAUSTED = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 POLL = 0.01  # s
+HANDSHAKE_TIME = 0.01  # s for a connection to be established whose request was taken before a listener closes
 LEAVING, FRESH, ASKED, USUAL = range(4)  # who makes room first: the lower, and among equals the longest there
 
 
@@ -67,6 +68,7 @@
     def __init__(self, limit: int) -> None:
         super().__init__(max_buffer_size=READ_BUFFER)
         self.limit, self.paused = limit, False
+        self.shared = False  # another process has a listener of this one, and may take connections from it
         self._coming = 0  # accepted, and not looked at yet
         self._resting = set[int]()  # listeners that wait for a descriptor
         self.open: set[Connection] = set()
@@ -185,23 +187,41 @@
                 return True
         return False
 
-    async def finish(self, seconds: float) -> None:
-        """Close the listener, and answer whoever came before that, for so long at most. The system resets what stands
-        in the queue of a listener that is closed, so that is taken first; one that is paused is another's to take."""
-        for listener in () if self.paused else list(self._sockets.values()):
-            drop_connection_requests(listener)
-            for _ in range(BACKLOG):
-                try:
-                    if not self._accept(listener):
-                        break
-                except OSError as error:
-                    if error.errno in EXHAUSTED and not self.make_room():
-                        break
-                while self._coming >= BEYOND:  # those beyond the limit give their descriptors back
-                    await asyncio.sleep(0)
-        self.stop()
+    async def close_listeners(self) -> None:
+        """Stop listening without resetting anybody: no further connection is established, those being established
+        are waited for, and whoever stands in a queue is taken. Others may be listened on afterwards."""
+        listeners = dict(self._sockets)
         self._resting.clear()
-        self._sockets.clear()  # a successor that dies now must not have them listened on again
+        self._sockets.clear()  # a successor that dies now must not have them listened on again, nor another get them
+        for fd in listeners:
+            self._handlers.pop(fd)()
+        if not self.paused:  # else the queue is another process's to take
+            await self._empty_queues(list(listeners.values()))
+        for listener in listeners.values():
+            listener.close()
+
+    async def _empty_queues(self, listeners: list[socket.socket]) -> None:
+        if not self.shared:
+            for listener in listeners:
+                drop_connection_requests(listener)
+            await asyncio.sleep(HANDSHAKE_TIME)
+        for listener in listeners:
+            await self._take_queue(listener)
+
+    async def _take_queue(self, listener: socket.socket) -> None:
+        for _ in range(BACKLOG):
+            try:
+                if not self._accept(listener):
+                    return
+            except OSError as error:
+                if error.errno in EXHAUSTED and not self.make_room():
+                    return
+            while self._coming >= BEYOND:  # those beyond the limit give their descriptors back
+                await asyncio.sleep(0)
+
+    async def finish(self, seconds: float) -> None:
+        """Close the listeners, and answer whoever came before that, for so long at most."""
+        await self.close_listeners()
         until = time.monotonic() + seconds
         await asyncio.sleep(POLL)
         while self.open and time.monotonic() < until:
--- a/millethead/succession/succession.py
+++ b/millethead/succession/succession.py
@@ -149,7 +149,7 @@
         link = self.after = Link(sock, lambda *came: self._from(link, *came), self._successor_gone)
 
     def _successor_gone(self) -> None:
-        self.after = None
+        self.after, self.acceptor.shared = None, False
         log.info("successor_gone", had_taken_over=self.took_over)
         if self.took_over:
             self.took_over = False
@@ -160,6 +160,7 @@
         """All that a successor should know, as it is now."""
         listener = next(iter(self.acceptor._sockets.values()), None)
         if listener is not None:
+            self.acceptor.shared = True
             link.send("listener", {}, handed=os.dup(listener.fileno()))
         lines = [
             _raw(worker.name, worker.address, worker.entry)
--- a/millethead/web/server.py
+++ b/millethead/web/server.py
@@ -73,9 +73,9 @@
         """Where it listens."""
         return self._connections.addresses
 
-    def stop_listening(self) -> None:
+    async def stop_listening(self) -> None:
         """Take no further connections; those that stand in the queue are served."""
-        self._connections.stop_listening()
+        await self._connections.close_listeners()
 
     async def drain(self, timeout_s: float) -> None:
         """Stop listening, answer every request that has begun, close each connection with its last answer, and idle
@@ -98,26 +98,9 @@
 
     # ---- the end -------------------------------------------------------------------------------------
 
-    def stop_listening(self) -> None:
-        for fd, listener in list(self._sockets.items()):
-            self._take_queue(listener)
-            self._handlers.pop(fd)()
-            listener.close()
-        self._resting.clear()
-        self._sockets.clear()  # another `listen` may follow, which Tornado's own `stop` would not end any more
-
-    def _take_queue(self, listener: socket.socket) -> None:
-        """The system resets what stands in the queue of a listener that is closed, so that is taken first."""
-        for _ in range(BACKLOG):
-            try:
-                if not self._accept(listener):
-                    return
-            except OSError:  # one that has gone; or no descriptor is left, and the rest of the queue is lost
-                continue
-
     async def drain(self, timeout_s: float) -> None:
         self.closing = True
-        self.stop_listening()
+        await self.close_listeners()
         self._interrupt(fresh=False)
         await self._empty(min(timeout_s, FIRST_REQUEST_GRACE_S))
         self._interrupt(fresh=True)
--- a/tests/test_system_processes.py
+++ b/tests/test_system_processes.py
@@ -162,13 +162,16 @@
     clients = [asyncio.ensure_future(client(number)) for number in range(CLIENTS)]
     await wait_for(enough, 10.0, "requests are answered")
     system.signal(first, signal.SIGTERM)
-    await asyncio.gather(*clients)  # raises if one was cut or not answered
-    assert await system.ended(first) == 0
+    try:
+        await asyncio.gather(*clients)  # raises if one was cut or not answered
+        assert await system.ended(first) == 0
+    finally:  # the tests that follow find the system whole
+        await system.ended(first)
+        system.start_process(first)
+        await system.ready()
     assert set(answers.values()) == {200}
     for name in list(answers)[-CLIENTS:]:
         assert (await system.job("GET", second, name)).status == 200
-    system.start_process(first)
-    await system.ready()
 
 
 async def test_a_change_of_the_configuration_is_in_force_at_every_dispatcher(system):
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
+import select
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
@@ -14,6 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from millethead.net.accept import Server
 from millethead.web import dispatch as dispatch_module
 from millethead.web import server as server_module
 from millethead.web.answers import format_answer
@@ -361,7 +364,7 @@
 async def test_port_that_is_taken_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(server_module, "BIND_RETRY_S", 0.0)
     async with running() as site:
-        site.server.stop_listening()
+        await site.server.stop_listening()
         predecessor = socket.create_server(("127.0.0.1", 0))
         listening = asyncio.ensure_future(site.server.listen(*predecessor.getsockname()))
         await asyncio.sleep(0)
@@ -458,12 +461,58 @@
 async def test_listening_may_begin_again() -> None:
     async with running() as site:
         client = await site.connect()
-        site.server.stop_listening()
+        await site.server.stop_listening()
         assert site.server.addresses == [] and (await client.ask(GET))[0] == 200
         await site.server.listen("127.0.0.1", 0)
         assert (await (await site.connect()).ask(GET))[0] == 200
 
 
+async def test_drain_resets_nobody_who_connects_as_the_listener_closes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The crossing, forced: requests to connect come before and after the last look at the queue."""
+    async with running() as site:
+        address, late = ("127.0.0.1", site.port), list[socket.socket]()
+        take_queue = Server._take_queue
+
+        def connecting() -> socket.socket:
+            client = socket.socket()
+            client.setblocking(False)
+            client.connect_ex(address)
+            late.append(client)
+            return client
+
+        async def crossed(server: Server, listener: socket.socket) -> None:
+            connecting()
+            await take_queue(server, listener)
+            connecting()
+
+        monkeypatch.setattr(Server, "_take_queue", crossed)
+        early = connecting()
+        drain = asyncio.ensure_future(site.server.drain(PATIENCE_S))
+        early.setblocking(True)
+        early.settimeout(PATIENCE_S)
+        await asyncio.to_thread(early.sendall, GET)
+        assert (await asyncio.to_thread(early.recv, 4096)).startswith(b"HTTP/1.1 200 ")
+        early.close()
+        await asyncio.wait_for(drain, PATIENCE_S)
+        for client in late[1:]:  # neither is established: each is refused once it asks again
+            assert await asyncio.to_thread(select.select, [], [client], [], PATIENCE_S) == ([], [client], [])
+            assert client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.ECONNREFUSED
+            client.close()
+
+
+async def test_listener_that_another_process_has_too_goes_on_taking_connections() -> None:
+    """A predecessor that ends before its successor takes over must leave the shared listener as it is."""
+    async with running() as site:
+        connections = site.server._connections
+        listener = next(iter(connections._sockets.values())).dup()
+        connections.shared = True
+        await site.server.stop_listening()
+        with listener, socket.create_connection(listener.getsockname(), timeout=PATIENCE_S):
+            listener.settimeout(PATIENCE_S)
+            taken, _ = await asyncio.to_thread(listener.accept)
+            taken.close()
+
+
 async def test_drain_finishes_what_was_read_and_what_is_being_read() -> None:
     async with running() as site:
         waiting, sending = await site.connect(), await site.connect()
