--- a/millethead/scheduling/placement.py
+++ b/millethead/scheduling/placement.py
@@ -100,6 +100,7 @@
     booked: Resources = NOTHING
     free: Resources = NOTHING
     health: float = 1.0
+    merit: float = 1.0  # its health by itself, whatever is held of the other workers
     proven: bool = True
     claim: Claim | None = None
     lasting: int = 0  # runs of tasks that last
@@ -156,6 +157,7 @@
         self.by_rack: dict[str, list[Host]] = {}
         self.largest = NOTHING  # the most of each kind of resource that a host has
         self._capacity = self._booked = NOTHING  # of all open hosts together
+        self._open = self._trusted = 0  # how many are open, and of these have a merit
         self._levels: list[list[Host]] = [[] for _ in range(33)]  # by bits of the free thousandths of a core
 
     def __iter__(self) -> Iterator[Host]:
@@ -171,6 +173,8 @@
         self._enter(host)
         if host.open:
             self._capacity, self._booked = plus(self._capacity, host.capacity), plus(self._booked, host.booked)
+            self._open += 1
+            self._trusted += host.merit > 0.0
         self._measure()
 
     def remove(self, host: Host) -> None:
@@ -183,6 +187,8 @@
         self._leave(host)
         if host.open:
             self._capacity, self._booked = minus(self._capacity, host.capacity), minus(self._booked, host.booked)
+            self._open -= 1
+            self._trusted -= host.merit > 0.0
         self._measure()
 
     def book(self, host: Host, needs: Resources) -> None:
@@ -198,6 +204,17 @@
         """The largest part of any kind of resource that is booked on the open hosts together."""
         return share(self._booked, self._capacity)
 
+    def set_merit(self, host: Host, merit: float) -> None:
+        """What is held of a host by itself."""
+        if host.open:
+            self._trusted += (merit > 0.0) - (host.merit > 0.0)
+        host.merit = merit
+
+    @property
+    def mostly_doubted(self) -> bool:
+        """Whether less than half of the open hosts have any merit."""
+        return 2 * self._trusted < self._open
+
     def with_room(self, needs: Resources, random: Random) -> Iterator[Host]:
         """Hosts that have room for one task: by powers of two of their free cores, from a random one on in each."""
         for level in range(32, needs.cpu.bit_length() - 1, -1):
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -24,10 +24,9 @@
 from millethead.execution.messages import RunEnd
 from millethead.scheduling.choosing import Chooser, Chosen, refusal
 from millethead.scheduling.finding import UnitFinder
-from millethead.scheduling.health import Health, RunName, Standing
+from millethead.scheduling.health import Health, RunName
 from millethead.scheduling.looks import LEAST_GAP_S, look_gap
 from millethead.scheduling.model import (
-    LEAST_WEIGHT,
     Decision,
     PendingStep,
     PendingTask,
@@ -44,6 +43,7 @@
 from millethead.scheduling.room_making import make_room
 from millethead.scheduling.starvation import is_little_used, next_starvation, note_use, starving_steps
 from millethead.scheduling.state import Flow, Lane, Pool, Run, Step
+from millethead.scheduling.trust import TrustKeeper
 
 GANG_WAIT_S = 3.0  # the first members of a gang wait for the others
 LASTING_STEADY_S = 3.0  # a task that lasts and fails later than this says nothing of its worker
@@ -58,7 +58,7 @@
         self._chooser = Chooser(random)
         self._finder = UnitFinder(self._chooser)
         self._health = Health()
-        self._health_changed: set[str] = set()  # services in which it, or the workers, have changed
+        self._trust = TrustKeeper(self._health)
         self._queues: dict[str, QueueSpec] = {}
         self._pools: dict[str, Pool] = {}
         self._steps: dict[StepKey, Step] = {}
@@ -91,11 +91,12 @@
             self._drop_claim(host, pool)
         pool.hosts.remove(host)
         pool.shrank()
+        self._trust.note(pool)
         host.show(worker)
         pool = self._pool(worker.service)
         pool.hosts.add(host)
         pool.grew(host)
-        self._health_changed.add(worker.service)
+        self._trust.note(pool, host)
 
     def remove_worker(self, instance: str) -> None:
         """A worker is gone. Its runs stay known until `run_ended`."""
@@ -105,8 +106,8 @@
             self._drop_claim(host, pool)
             pool.hosts.remove(host)
             pool.shrank()
+            self._trust.note(pool)
         self._health.forget(instance)
-        self._health_changed.update(self._pools)
 
     def worker(self, instance: str) -> WorkerState | None:
         """A worker with its free room."""
@@ -334,7 +335,7 @@
         for run in self._runs.values():
             if run.instance == worker.instance:
                 self._occupy(host, run)
-        self._health_changed.add(worker.service)
+        self._trust.note(pool, host)
         self._show_health()
         pool.grew(host)
 
@@ -392,29 +393,13 @@
         self._health.ended(run.name, outcome, now)
 
     def _show_health(self) -> None:
-        """Carry what has changed over to the hosts; one that is to be used more may fit what waits."""
-        for instance in self._health.changed:
+        """Carry what has changed over to the hosts."""
+        for instance in sorted(self._health.changed):
             host = self._hosts.get(instance)
             if host is not None:
-                self._health_changed.add(host.service)
+                self._trust.note(self._pool(host.service), host)
         self._health.changed.clear()
-        for service in sorted(self._health_changed):
-            self._show_health_in(self._pool(service))
-        self._health_changed.clear()
-
-    def _show_health_in(self, pool: Pool) -> None:
-        """Where less than half of a service's workers are trusted, the fault is hardly theirs, and there is nobody
-        else: then none is left out altogether."""
-        hosts = [host for host in pool.hosts if host.open]
-        trusted = sum(self._health.weight(host.instance) > 0.0 for host in hosts)
-        least = LEAST_WEIGHT if 2 * trusted < len(hosts) else 0.0
-        for host in pool.hosts:
-            weight = max(least, self._health.weight(host.instance))
-            proven = self._health.standing(host.instance) is Standing.SOUND
-            better = proven > host.proven or (weight > 0.0 >= host.health)
-            host.health, host.proven = weight, proven
-            if better:
-                pool.grew(host)
+        self._trust.carry_over()
 
     def _forget_idle_flows(self, pool: Pool) -> None:
         """Drop queues that are no longer configured and of which nothing is known."""
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -291,6 +291,7 @@
     reservations: dict[StepKey, Reservation] = field(default_factory=dict)
     little_used_since: float = inf  # see `starvation`
     busy_since: float = -inf  # since when more is in use; infinite while it is little used
+    least_health: float = 0.0  # the factor that even a worker that is avoided has; see `trust`
     _grown: list[Host] = field(default_factory=list)
     _since: tuple[int, int] = (-1, -1)  # the last answer of `grown_since`: from where to where
     _since_hosts: list[Host] = field(default_factory=list)
