Looks at workers by what each job can spare; the wait for a rack by what is lost elsewhere

Waiting for the rack of the data took 0.3 of the estimate whatever far_x: 0.6 of what is lost elsewhere now (the same at far_x 1.5).

--- a/millethead/control/agents.py
+++ b/millethead/control/agents.py
@@ -10,6 +10,7 @@
 from millethead.jobs.commands import TaskRun
 from millethead.jobs.state import JobTable, Task
 from millethead.rpc.codec import Record
+from millethead.scheduling.looks import LASTING_GAP_S, run_gap
 from millethead.scheduling.model import WorkerState
 
 LEASE_S = 12.0  # an agent that the head cannot reach goes on holding its runs for so long
@@ -152,7 +153,8 @@
             return None
         step = job.description.steps[run.step]
         saved = job.at_time(run.time).steps[run.step].saved if step.gang else task.saved
-        return RunOrder(RunKey(run.task_name, run.run), job.description.spec, saved, step.needs)
+        gap_s = LASTING_GAP_S if step.long_running else run_gap(job.spare_ms / 1000, job.description.chain_length())
+        return RunOrder(RunKey(run.task_name, run.run), job.description.spec, saved, step.needs, int(gap_s * 1000))
 
     def send_whole(self, session: AgentSession, instance: str) -> None:
         """Tell an agent all that is wanted in a life, and what was to be stopped and has not ended: a process of the
--- a/millethead/control/feeder.py
+++ b/millethead/control/feeder.py
@@ -111,7 +111,6 @@
         description = job.description.steps[key.step]
         state = job.at_time(key.time).steps[key.step]
         start_ms = job.description.due_ms(key.time) or job.submitted_ms
-        objective_ms = job.terms.skew_thousandths * job.description.longest_chain_ms() / 1000 + job.terms.target_ms
         pending = PendingStep(
             key,
             job.terms.route,
@@ -127,7 +126,7 @@
             description.idempotent,
             description.long_running,
             description.checkpoints,
-            clock.steady(start_ms + objective_ms),
+            clock.steady(start_ms + job.objective_ms),
             tail_s=job.description.tails_ms()[key.step] / 1000,
             work_left=_work_left(job, key.time),
         )
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -59,6 +59,7 @@
 from millethead.jobs.state import Job, Outcome, Task
 from millethead.replication.view import View
 from millethead.rpc.codec import Record
+from millethead.scheduling.choosing import FAR_TIMES
 from millethead.scheduling.model import StepKey
 from millethead.scheduling.scheduler import Scheduler
 
@@ -91,11 +92,18 @@
     """One epoch of the head."""
 
     def __init__(
-        self, view: View, state: ControlState, chain: ChainHead, clock: HeadClock, random: Random, status_s: float
+        self,
+        view: View,
+        state: ControlState,
+        chain: ChainHead,
+        clock: HeadClock,
+        random: Random,
+        status_s: float,
+        far_times: float = FAR_TIMES,
     ) -> None:
         self.view, self.state, self.clock, self._status_s = view, state, clock, status_s
         self.gate = CommitGate(chain, clock.soon)
-        self.scheduler = Scheduler(random)
+        self.scheduler = Scheduler(random, far_times)
         self.agents = Agents(state.jobs, clock.now(), state.drained)
         self.feeder = Feeder(state.jobs, self.scheduler, self._stop_run)
         self.rounds = Rounds(state.jobs, self.gate, self.scheduler, self.agents, self.feeder, clock, self._stop_run)
@@ -234,7 +242,7 @@
 
     def _grant(self, session: AgentSession, sent_ms: int) -> None:
         now = self.clock.now()
-        worker = self.agents.grant(session, sent_ms, self.scheduler.look_gap(session.instance, now), now)
+        worker = self.agents.grant(session, sent_ms, self.scheduler.look_gap(session.instance), now)
         if worker is not None:
             self.scheduler.put_worker(worker)
             self.rounds.want()
--- a/millethead/execution/messages.py
+++ b/millethead/execution/messages.py
@@ -58,12 +58,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RunOrder(Record):
-    """A run that the head wants at the agent's worker; the assignment is committed already."""
+    """A run that the head wants at the agent's worker; the assignment is committed already. `look_gap_ms`: the least
+    time between two looks at the worker while it runs."""
 
     key: RunKey
     spec: str
     checkpoint: str
     needs: Resources
+    look_gap_ms: U32 = 1200
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +121,7 @@
 @dataclass(frozen=True, slots=True)
 class LeaseGrant(Record):
     """The lease holds until `sent_ms` + `lease_ms` on the agent's steady clock. `look_gap_ms`: the least time between
-    two looks at the worker; long while room is plenty, since looks cost, and short while tasks wait for room."""
+    two looks at the worker, whatever runs there; short while tasks wait for room."""
 
     sent_ms: U64
     lease_ms: U32
--- a/millethead/execution/worker_calls.py
+++ b/millethead/execution/worker_calls.py
@@ -131,6 +131,7 @@
         timeout = START_TIMEOUTS_S[min(run.tries, len(START_TIMEOUTS_S) - 1)]
         run.calling = True
         run.tries += 1
+        life.look_at = min(life.look_at, now + _gap_for(run))
         life.sent_deadline(deadline)
         self._call(
             lambda number: StartCall(
@@ -198,12 +199,16 @@
             if call.deadline_ms is not None:
                 life.granted = max(life.granted, call.deadline_ms)
             merge_lists(life, answer.lists, answer.sent_at, now)
-            life.look_at = now + self.look_gap_s
+            life.look_at = now + self._look_gap(life)
         elif answer.result is CallVerdict.UNCLEAR:
             life.look_at = max(now, answer.sent_at + ANSWER_PATIENCE_S) if life.misses > 1 else now
         else:
             life.look_at = now + max(self._limits.look_gap_s, retry_pause(life.misses))
 
+    def _look_gap(self, life: Life) -> float:
+        """The least time between two looks: each costs, and one brings several ends."""
+        return min([self.look_gap_s, *(_gap_for(run) for run in life.runs.at_worker())])
+
     def _call(self, make: Callable[[int], WorkerCall]) -> int:
         self._number += 1
         call = make(self._number)
@@ -212,6 +217,11 @@
         return self._number
 
 
+def _gap_for(run: Run) -> float:
+    """The least time between two looks for the sake of one run (s)."""
+    return math.inf if run.order is None else run.order.look_gap_ms / MS
+
+
 def _patience_end(run: Run) -> float:
     """Until when the start may wait to be made."""
     return math.inf if run.tried_at is None else run.tried_at + ROOM_PATIENCE_S
--- a/millethead/jobs/description.py
+++ b/millethead/jobs/description.py
@@ -68,6 +68,13 @@
                 tails[earlier] = max(tails[earlier], step.estimate_ms + tails[number])
         return tails
 
+    def chain_length(self) -> int:
+        """The most steps that come one after the other."""
+        lengths: list[int] = []
+        for step in self.steps:
+            lengths.append(1 + max((lengths[number] for number in step.dependencies), default=0))
+        return max(lengths)
+
     def longest_chain_ms(self) -> int:
         """The longest chain of steps by estimate."""
         ends: list[int] = []
--- a/millethead/jobs/state.py
+++ b/millethead/jobs/state.py
@@ -93,6 +93,16 @@
     def time_count(self) -> int:
         return max(1, self.description.repeats)
 
+    @property
+    def spare_ms(self) -> float:
+        """What each time of the job may lose until it is late, if nothing went wrong."""
+        return self.objective_ms - self.description.longest_chain_ms()
+
+    @property
+    def objective_ms(self) -> float:
+        """How long each time of the job may take."""
+        return self.terms.skew_thousandths * self.description.longest_chain_ms() / 1000 + self.terms.target_ms
+
     def at_time(self, time: int) -> TimeState:
         """The tasks of a time of the job, which begin to exist when they are first asked for."""
         state = self.times.get(time)
--- a/millethead/lab/overload.py
+++ b/millethead/lab/overload.py
@@ -13,8 +13,9 @@
 from statistics import mean
 
 from millethead.execution.messages import Resources, RunEnd
+from millethead.scheduling.choosing import FAR_TIMES
 from millethead.scheduling.model import PendingStep, PendingTask, Placement, QueueSpec, StepKey, WorkerState
-from millethead.scheduling.scheduler import FAR_TIMES, Scheduler
+from millethead.scheduling.scheduler import Scheduler
 
 QUEUE = QueueSpec("pricing", "tender", 1, 1.0, 2.2, 4)
 CAPACITY = Resources(64_000, 131_072, 0)
--- a/millethead/programs/control.py
+++ b/millethead/programs/control.py
@@ -271,6 +271,7 @@
             self._clock,
             self._random,
             self._settings.bounds.status_s,
+            self._settings.bounds.far_x,
         )
         self._head_tick = 0.0
         for connection, session in list(self._sessions.items()):
--- a/millethead/scheduling/choosing.py
+++ b/millethead/scheduling/choosing.py
@@ -26,7 +26,8 @@
 from millethead.scheduling.state import Pool, Step
 
 MOST_CANDIDATES = 16  # fitting hosts weighed for one pick; of more, a random part
-RACK_PATIENCE = 0.3  # part of the estimate that may be waited away for the rack
+FAR_TIMES = 1.5  # times as long away from the data, unless the deployment says otherwise
+RACK_PATIENCE = 0.6  # part of the time that a task loses elsewhere which may be waited away for the rack
 AVOID_PATIENCE_S = 1.0  # how long a retry waits for a worker on which it has not failed
 DOUBT_PATIENCE_S = 1.5  # how long a gang waits for workers whose health is not in doubt
 AVOID_SETS = 3  # different sets of avoided workers tried within a step
@@ -48,8 +49,9 @@
 class Chooser:
     """Picks the workers for units."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, far_times: float = FAR_TIMES) -> None:
         self._random = random
+        self._rack_patience = RACK_PATIENCE * (far_times - 1.0)  # part of the estimate
 
     def choose(self, step: Step, pool: Pool, among: list[Host] | None, now: float) -> Chosen:
         """Tasks of one unit with their places; empty where it is not to be placed now.
@@ -123,7 +125,7 @@
         near = [host for host in rack if demand.at(host)]
         if near:
             return near
-        until = task.waiting_since + RACK_PATIENCE * step.spec.estimate_s
+        until = task.waiting_since + self._rack_patience * step.spec.estimate_s
         if now < until and any(demand.at_best(host) and host.health > 0.0 for host in rack):
             step.wait(until, WaitReason.RACK)
             return []
@@ -190,7 +192,7 @@
     ) -> list[Host] | None:
         """Places on any racks, unless it still waits for one that could hold it whole."""
         since = max(task.waiting_since for task in step.tasks.values())
-        until = since + RACK_PATIENCE * step.spec.estimate_s
+        until = since + self._rack_patience * step.spec.estimate_s
         if now < until and any(
             sum(demand.at_best(host) for host in rack) >= step.spec.count for rack in self._racks(step, pool)
         ):
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -22,10 +22,10 @@
 from random import Random
 
 from millethead.execution.messages import RunEnd
-from millethead.scheduling.choosing import Chooser, Chosen, refusal
+from millethead.scheduling.choosing import FAR_TIMES, Chooser, Chosen, refusal
 from millethead.scheduling.finding import UnitFinder
 from millethead.scheduling.health import Health, RunName
-from millethead.scheduling.looks import LEAST_GAP_S, look_gap
+from millethead.scheduling.looks import SCARCE_GAP_S, service_gap
 from millethead.scheduling.model import (
     Decision,
     PendingStep,
@@ -47,15 +47,15 @@
 
 GANG_WAIT_S = 3.0  # the first members of a gang wait for the others
 LASTING_STEADY_S = 3.0  # a task that lasts and fails later than this says nothing of its worker
-FAR_TIMES = 1.5  # times as long away from the data
 UNLISTED = QueueSpec("", "", 9, 3.0, 2.0, 1)  # stands for a queue that is no longer configured
 
 
 class Scheduler:
     """The decisions for all workers and queues of one cell."""
 
-    def __init__(self, random: Random) -> None:
-        self._chooser = Chooser(random)
+    def __init__(self, random: Random, far_times: float = FAR_TIMES) -> None:
+        self._far_times = far_times
+        self._chooser = Chooser(random, far_times)
         self._finder = UnitFinder(self._chooser)
         self._health = Health()
         self._trust = TrustKeeper(self._health)
@@ -196,10 +196,10 @@
         is worth the work thrown away."""
         return tuple(Preemption(*name) for name in self._health.stalled() if name in self._runs)
 
-    def look_gap(self, instance: str, now: float) -> float:
-        """The least time between two looks at a worker (s)."""
+    def look_gap(self, instance: str) -> float:
+        """The least time between two looks at a worker (s), whatever runs there."""
         host = self._hosts.get(instance)
-        return look_gap(host, self._pool(host.service), now) if host is not None else LEAST_GAP_S
+        return service_gap(self._pool(host.service)) if host is not None else SCARCE_GAP_S
 
     # ---- decisions -------------------------------------------------------------------------------------------------
 
@@ -380,7 +380,7 @@
         """What a run should take where it is."""
         spec, host = run.step.spec, self._hosts.get(run.instance)
         far = spec.affinity and host is not None and host.rack != spec.affinity
-        return spec.estimate_s * (FAR_TIMES if far else 1.0)
+        return spec.estimate_s * (self._far_times if far else 1.0)
 
     def _teach(self, run: Run, outcome: RunEnd, now: float) -> None:
         """What an end says of its worker. Tasks that last fail at any time, and gangs wait for each other."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -480,6 +480,26 @@
     assert isinstance(hold, HoldCall) and 1500 <= hold.wait_ms <= 2000
 
 
+def test_looks_come_as_soon_as_a_run_there_asks_for(desk: Desk) -> None:
+    desk.receive(LeaseGrant(int(desk.now * 1000), 60_000, 1200))
+    desk.want(order("a.0.0.0"), replace(order("b.0.0.0"), look_gap_ms=60))
+    for start in [call for call in desk.calls if isinstance(call, StartCall)]:
+        desk.answer(start)
+    running = tuple(RunProgress(RunKey(name, 1), "", 1) for name in ("a.0.0.0", "b.0.0.0"))
+    desk.answer(desk.only(HoldCall), running=running)
+    desk.pass_time(0.059)
+    assert not desk.calls
+    desk.pass_time(0.002)
+    ended = (EndEntry(1, RunKey("b.0.0.0", 1), RunEnd.DONE, ""),)
+    desk.answer(desk.only(HoldCall), running=running[:1], ends=ended)
+    desk.pass_time(1.1)
+    assert not desk.calls  # what is left there has time
+    desk.want(replace(order("c.0.0.0"), look_gap_ms=60))
+    desk.answer(desk.only(StartCall))
+    desk.pass_time(0.06)
+    assert isinstance(desk.only(HoldCall), HoldCall)
+
+
 def test_unanswered_hold_is_repeated_at_once_and_then_extends_nothing(desk: Desk) -> None:
     desk.want(order("a.0.0.0"))
     desk.answer(desk.only(StartCall))
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -535,6 +535,22 @@
     assert all(order.spec == "work" and order.needs == Resources(1000, 0, 0) for order in orders)
 
 
+def look_gaps(*steps: dict[str, Any]) -> list[int]:
+    """The least time between two looks that each run of a job asks for (ms)."""
+    bench = Bench()
+    agent = bench.agent()
+    agent.lists()
+    assert bench.ask("POST", body=job(*steps))[0] == 200
+    return [order.look_gap_ms for desired in agent.lists() for order in desired.orders]
+
+
+def test_order_says_how_late_its_end_may_be_known() -> None:
+    assert look_gaps({}) == [200]  # a fifth of (2.0 - 1) x 500 ms + 500 ms
+    assert look_gaps({}, {"deps": [0]}) == [150]  # half of a fifth of 1,000 + 500 ms
+    assert look_gaps({"long_running": True}) == [500]
+    assert look_gaps({"estimate_ms": 60_000}) == [1200]
+
+
 def test_new_session_is_not_told_of_runs_that_are_not_committed() -> None:
     bench = Bench()
     agent = bench.agent()
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -106,6 +106,10 @@
     assert job.longest_chain_ms() == 150
 
 
+def test_chain_length_counts_steps_one_after_the_other() -> None:
+    assert read_job(body({}, {"deps": [0]}, {}, {"deps": [1, 2]})).chain_length() == 3
+
+
 def test_tails_are_the_longest_chains_after_each_step() -> None:
     steps = [
         {"count": 1, "estimate_ms": 100 * (number + 1), "deps": deps}
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -14,7 +14,7 @@
 from millethead.execution.messages import Resources, RunEnd
 from millethead.lab.overload import Earned, Overload, Setting
 from millethead.scheduling.health import Cause, Health, Standing
-from millethead.scheduling.looks import LEAST_GAP_S, LONGEST_GAP_S, SCARCE_GAP_S
+from millethead.scheduling.looks import BACKLOG_GAP_S, LONGEST_GAP_S, SCARCE_GAP_S, SHORTEST_GAP_S, run_gap
 from millethead.scheduling.model import (
     Decision,
     PendingStep,
@@ -1215,34 +1215,47 @@
 # ---- looks at workers ----------------------------------------------------------------------------------------
 
 
-def _gap(made: Scheduler, job: PendingStep, now: float = 0.0) -> float:
+def _service_gap(made: Scheduler, job: PendingStep, now: float = 0.0) -> float:
     made.put_step(job)
     (placement,) = made.schedule(now).placements
-    return made.look_gap(placement.instance, now)
+    return made.look_gap(placement.instance)
 
 
-def test_looks_are_far_apart_where_jobs_have_much_time_left() -> None:
-    assert _gap(scheduler(worker("w")), step("j", estimate_s=2.0, objective_at=60.0)) == LONGEST_GAP_S
+def test_looks_cost_a_job_a_fifth_of_what_it_can_spare_at_most() -> None:
+    assert run_gap(60.0, 1) == LONGEST_GAP_S
+    assert run_gap(4.0, 1) == pytest.approx(0.8)
+    assert run_gap(4.0, 2) == pytest.approx(0.4)  # every step of its chain may lose as much
+    assert run_gap(0.7, 2) == pytest.approx(0.07)
+    assert run_gap(0.01, 1) == run_gap(-1.0, 1) == SHORTEST_GAP_S
 
 
-def test_looks_come_soon_where_a_job_has_little_time_left() -> None:
-    near = step("near", estimate_s=2.0, objective_at=6.0)
-    assert _gap(scheduler(worker("w")), near) == pytest.approx(0.8)
-    near.objective_at = 1.0
-    assert _gap(scheduler(worker("w")), near) == LEAST_GAP_S
-    chained = step("chained", estimate_s=2.0, objective_at=6.0)
-    chained.tail_s = 1.0
-    assert _gap(scheduler(worker("w")), chained) == pytest.approx(0.6)
-
-
-def test_looks_come_at_the_shortest_gap_where_something_waits_or_room_is_scarce() -> None:
-    assert _gap(scheduler(worker("w")), step("j", needs=WHOLE, objective_at=60.0)) == SCARCE_GAP_S
+def test_a_service_asks_for_soon_looks_only_where_something_waits_or_room_is_scarce() -> None:
+    assert _service_gap(scheduler(worker("w")), step("j", needs=WHOLE, objective_at=60.0)) == SCARCE_GAP_S
     made = scheduler(worker("w"))
     made.put_step(step("waits", requires="nowhere", objective_at=60.0))
-    assert _gap(made, step("j", objective_at=60.0)) == LONGEST_GAP_S
+    assert _service_gap(made, step("j", objective_at=60.0)) == LONGEST_GAP_S
     made.put_step(step("half", needs=HALF, objective_at=60.0))
     made.schedule(0.0)
-    assert made.look_gap("w", 0.0) == SCARCE_GAP_S
+    assert made.look_gap("w") == SCARCE_GAP_S
+
+
+def test_looks_come_soonest_where_what_waits_has_to_wait_for_ends() -> None:
+    made = scheduler(worker("w"))
+    made.put_step(step("waits", needs=HALF, objective_at=60.0))
+    assert _service_gap(made, step("j", needs=WHOLE, objective_at=5.0)) == BACKLOG_GAP_S
+
+
+def test_the_wait_for_the_rack_of_the_data_follows_what_is_lost_elsewhere() -> None:
+    for far_times, patience_s in ((1.5, 0.45), (3.0, 1.8)):
+        made = Scheduler(Random(1), far_times)
+        made.set_queues((queue(),))
+        made.put_worker(worker("near", "r1", capacity=SMALL))
+        made.put_worker(worker("far", "r2"))
+        made.put_step(step("first", affinity="r1"))
+        made.schedule(0.0)
+        made.put_step(step("second", affinity="r1", estimate_s=1.5))
+        assert not made.schedule(patience_s - 0.1).placements
+        assert [placement.instance for placement in made.schedule(patience_s).placements] == ["far"]
 
 
 def test_tasks_go_to_workers_that_run_something_already() -> None:
