--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -307,6 +307,8 @@
             run = task_run(entry.key.task, entry.key.run)
             if run is not None:
                 ends.append(EndedRun(run, entry.how, entry.saved))
+                if entry.ran_ms:
+                    self.scheduler.run_lasted(run_key(run), run.index, report.instance, run.run, entry.ran_ms / 1000)
         known = tuple(
             end
             for end in ends
--- a/millethead/execution/listing.py
+++ b/millethead/execution/listing.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from millethead.execution.calls import HoldLists
 from millethead.execution.life import Life
 from millethead.execution.messages import EndEntry, RunEnd, RunKey, RunProgress
 from millethead.execution.runs import Run, RunState, change
+from millethead.execution.worker_clock import MS
 
 PROGRESS_INTERVAL_S = 1.0  # between two reports of a run's percentage; a new checkpoint is told at once
 
@@ -34,9 +37,9 @@
 
 
 def _take_end(life: Life, end: EndEntry, now: float) -> None:
-    life.draft.ends.append(end)
-    life.unstopped.pop(end.key, None)
     run = life.runs.get(end.key)
+    life.draft.ends.append(end if run is None else replace(end, ran_ms=_ran_ms(run, now)))
+    life.unstopped.pop(end.key, None)
     if run is None:
         return
     run.listed = True
@@ -44,6 +47,11 @@
         change(run, RunState.ENDED, now)
 
 
+def _ran_ms(run: Run, now: float) -> int:
+    """How long a run has run until now; 0 where that is not known."""
+    return 0 if run.began_at is None else max(1, int((now - run.began_at) * MS))
+
+
 def _take_running(life: Life, progress: RunProgress, now: float) -> None:
     run = life.runs.get(progress.key)
     if run is None:
--- a/millethead/execution/messages.py
+++ b/millethead/execution/messages.py
@@ -70,12 +70,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EndEntry(Record):
-    """One listed end: `number` is the worker's N; 0 where no listed end stands behind it (LOST, NEVER)."""
+    """One listed end: `number` is the worker's N; 0 where no listed end stands behind it (LOST, NEVER). `ran_ms`: from
+    the answer of its start to the list that showed its end, by the agent's clock; 0: not known."""
 
     number: U64
     key: RunKey
     how: RunEnd
     saved: str
+    ran_ms: U32 = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/millethead/execution/runs.py
+++ b/millethead/execution/runs.py
@@ -42,6 +42,7 @@
     `wanted`: by the newest list of the head. `unclear`: a start may have been carried out, or may be later.
     `calling`: a start or stop is under way. `tries`: starts or stops made in this state. `retry_at`: no call before.
     `since`: when the state was entered. `tried_at`: since when its start is due.
+    `began_at`: when its start was answered; None where that may have been carried out before.
     `seen_at`: when the worker was first known to have it. `listed`: its end was listed, not concluded. `saved`,
     `percent` and `told_at`: its progress as the head was told last. Times are seconds of the agent's steady clock.
     """
@@ -56,6 +57,7 @@
     tries: int = 0
     retry_at: float = 0.0
     tried_at: float | None = None
+    began_at: float | None = None
     seen_at: float | None = None
     listed: bool = False
     saved: str = ""
--- a/millethead/scheduling/health.py
+++ b/millethead/scheduling/health.py
@@ -3,9 +3,10 @@
 A worker is SOUND until most of its recent runs fail, its runs stand still, or it is far slower than others at the same
 work. Then it is AVOIDED for a pause that doubles each time, and after it PROBING: one task at a time tries it out.
 
-Some jobs fail always and everywhere. So failures of a job count against a worker only while the job has not failed on
-another sound worker too; and of several failures of one job at one worker only one counts, unless tasks of the job
-have succeeded elsewhere. Paces are compared between tasks of one step where possible, since estimates are rough.
+Some work fails always and everywhere. So failures of a step count against a worker only while the step has not failed
+on another sound worker too; and of several failures of one step at one worker only one counts, unless tasks of the step
+have succeeded elsewhere. That earlier steps of its job succeeded says nothing. Paces are compared
+between tasks of one step where possible, since estimates are rough.
 
 Times are seconds of a steady clock.
 """
@@ -26,16 +27,17 @@
 BAD_STREAK = 3  # counted failures since the last success that make a worker avoided
 BAD_START = 2  # the same where no success is among the recent ends
 BAD_SHARE = 4  # or so many among the recent ends, if they are the larger part
-COUNTED_PER_JOB = 3  # failures of one job counted at most where its tasks succeed elsewhere
+COUNTED_PER_STEP = 3  # failures of one step counted at most where its tasks succeed elsewhere
 STALL_S, STALL_SHARE = 2.0, 0.5  # a run stands still after this long, and this part of its estimate
 LEAST_SPAN_S = 0.2  # shorter spans between two reports say nothing about pace
 SLOW, VERY_SLOW = 1.25, 3.0  # times others' pace from which a worker is chosen less, and avoided
 PACE_SAMPLES = 3  # before a worker is avoided for its pace
 SAME_STEP, SAME_QUEUE = 0.4, 0.1  # how far one sample moves a worker's pace, by what it is compared with
 QUEUE_MOVE = 0.05
-JOBS_KEPT = 4096  # jobs and steps remembered
+STEPS_KEPT = 4096  # remembered
 
 RunName = tuple[StepKey, int, str]  # step, index, instance
+Work = tuple[str, int]  # a step of a job, whatever its time
 
 
 class Standing(Enum):
@@ -58,7 +60,7 @@
 @dataclass(frozen=True, slots=True)
 class _End:
     at: float
-    job: str
+    work: Work
     good: bool
 
 
@@ -77,7 +79,9 @@
 
 
 @dataclass(slots=True)
-class _Job:
+class _Record:
+    """Where tasks of a step have ended well, and where not."""
+
     done_on: set[str] = field(default_factory=set)
     failed_on: set[str] = field(default_factory=set)
 
@@ -105,7 +109,7 @@
     def __init__(self) -> None:
         self.changed: set[str] = set()
         self._workers: dict[str, _Worker] = {}
-        self._jobs: OrderedDict[str, _Job] = OrderedDict()
+        self._records: OrderedDict[Work, _Record] = OrderedDict()
         self._steps: OrderedDict[StepKey, _Pace] = OrderedDict()
         self._queues: dict[str, float] = {}
         self._watches: dict[RunName, _Watch] = {}
@@ -169,9 +173,9 @@
             worker.probe = None
             self.changed.add(worker.instance)
         if how is RunEnd.DONE:
-            self._succeeded(worker, name[0].job, was_probe, now)
+            self._succeeded(worker, _work(name), was_probe, now)
         elif how is RunEnd.FAILED:
-            self._failed(worker, name[0].job, was_probe, now)
+            self._failed(worker, _work(name), was_probe, now)
 
     def progressed(
         self, name: RunName, queue: str, expected_s: float, patience_s: float, percent: int, now: float
@@ -224,25 +228,25 @@
             worker.pause = FIRST_PAUSE_S
             worker.ends.clear()
 
-    def _succeeded(self, worker: _Worker, job: str, was_probe: bool, now: float) -> None:
-        known = self._job(job)
+    def _succeeded(self, worker: _Worker, work: Work, was_probe: bool, now: float) -> None:
+        known = self._record(work)
         known.done_on.add(worker.instance)
         if was_probe and worker.cause is Cause.SLOW and exp(worker.pace) > VERY_SLOW:
             self._move(worker, Standing.AVOIDED, Cause.SLOW, now)
         elif was_probe:
             self._move(worker, Standing.SOUND, Cause.NONE, now)
         if worker.standing is Standing.SOUND:
-            worker.ends.append(_End(now, job, True))
+            worker.ends.append(_End(now, work, True))
         for instance in known.failed_on:
             self._judge_ends(self._worker(instance), now)
 
-    def _failed(self, worker: _Worker, job: str, was_probe: bool, now: float) -> None:
-        known = self._job(job)
+    def _failed(self, worker: _Worker, work: Work, was_probe: bool, now: float) -> None:
+        known = self._record(work)
         known.failed_on.add(worker.instance)
         if was_probe and not self._blames_itself(known, worker.instance):
             self._move(worker, Standing.AVOIDED, worker.cause, now)
         elif worker.standing is Standing.SOUND:
-            worker.ends.append(_End(now, job, False))
+            worker.ends.append(_End(now, work, False))
         for instance in known.failed_on:
             self._judge_ends(self._worker(instance), now)
 
@@ -261,28 +265,28 @@
 
     def _guilty(self, worker: _Worker, now: float) -> bool:
         good = bad = streak = 0
-        counted: dict[str, int] = {}
+        counted: dict[Work, int] = {}
         for end in reversed(worker.ends):
             if end.at < now - ENDS_AGE_S:
                 break
             if end.good:
                 good += 1
-            elif self._counts(end.job, worker.instance, counted):
+            elif self._counts(end.work, worker.instance, counted):
                 bad += 1
                 streak += not good
         return streak >= BAD_STREAK or (not good and bad >= BAD_START) or (bad >= BAD_SHARE and bad > good)
 
-    def _counts(self, job: str, instance: str, counted: dict[str, int]) -> bool:
-        known = self._job(job)
+    def _counts(self, work: Work, instance: str, counted: dict[Work, int]) -> bool:
+        known = self._record(work)
         if self._blames_itself(known, instance):
             return False
-        counted[job] = counted.get(job, 0) + 1
-        return counted[job] <= (COUNTED_PER_JOB if known.done_on - {instance} else 1)
+        counted[work] = counted.get(work, 0) + 1
+        return counted[work] <= (COUNTED_PER_STEP if known.done_on - {instance} else 1)
 
-    def _blames_itself(self, job: _Job, instance: str) -> bool:
-        """Whether the job's failures lie with the job: it failed on other sound workers too, and never succeeded."""
-        others = job.failed_on - {instance}
-        return not job.done_on and any(self.standing(other) is Standing.SOUND for other in others)
+    def _blames_itself(self, known: _Record, instance: str) -> bool:
+        """Whether a step's failures lie with itself: it failed on other sound workers too, and never succeeded."""
+        others = known.failed_on - {instance}
+        return not known.done_on and any(self.standing(other) is Standing.SOUND for other in others)
 
     def _stands_still(self, name: RunName, now: float) -> None:
         worker = self._worker(name[2])
@@ -311,7 +315,7 @@
         step = self._steps.get(key)
         if step is None:
             step = self._steps[key] = _Pace(sample, 0, set())
-            if len(self._steps) > JOBS_KEPT:
+            if len(self._steps) > STEPS_KEPT:
                 self._steps.popitem(last=False)
         step.count += 1
         step.mean += (sample - step.mean) / step.count
@@ -322,9 +326,15 @@
             self._workers[instance] = _Worker(instance)
         return self._workers[instance]
 
-    def _job(self, job: str) -> _Job:
-        if job not in self._jobs:
-            self._jobs[job] = _Job()
-            if len(self._jobs) > JOBS_KEPT:
-                self._jobs.popitem(last=False)
-        return self._jobs[job]
+    def _record(self, work: Work) -> _Record:
+        if work not in self._records:
+            self._records[work] = _Record()
+            if len(self._records) > STEPS_KEPT:
+                self._records.popitem(last=False)
+        return self._records[work]
+
+
+def _work(name: RunName) -> Work:
+    """The work that a run does."""
+    key = name[0]
+    return key.job, key.step
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -170,6 +170,12 @@
         if known.step.tasks.pop(index, None) is not None:
             self._changed(known.step, now)
 
+    def run_lasted(self, key: StepKey, index: int, instance: str, run: int, seconds: float) -> None:
+        """How long a run ran, as its agent saw it; its end follows."""
+        known = self._runs.get((key, index, instance))
+        if known is not None and known.number == run:
+            known.ran_s = seconds
+
     def run_ended(self, key: StepKey, index: int, instance: str, run: int, outcome: RunEnd, now: float) -> None:
         """A run is over and its room is free. An end of a run that is older than the one booked is passed over."""
         known = self._runs.get((key, index, instance))
@@ -383,13 +389,13 @@
         return spec.estimate_s * (self._far_times if far else 1.0)
 
     def _teach(self, run: Run, outcome: RunEnd, now: float) -> None:
-        """What an end says of its worker. Tasks that last fail at any time, and gangs wait for each other."""
-        spec = run.step.spec
-        if outcome is RunEnd.FAILED and spec.long_running and now - run.started > LASTING_STEADY_S:
+        """What an end says of its worker. Tasks that last fail at any time, and gangs wait for each other. Only a time
+        that the agent has measured says something: this head may have learnt late of the start or of the end."""
+        spec, ran_s = run.step.spec, run.ran_s
+        if outcome is RunEnd.FAILED and spec.long_running and (ran_s is None or ran_s > LASTING_STEADY_S):
             outcome = RunEnd.STOPPED
-        if outcome is RunEnd.DONE and not run.checkpoint and not spec.gang and not spec.long_running:
-            ratio = max(now - run.started, 1e-3) / max(self._expected_s(run), 1e-3)
-            self._health.took(run.name, run.step.flow.name, ratio, now)
+        if outcome is RunEnd.DONE and ran_s is not None and not (run.checkpoint or spec.gang or spec.long_running):
+            self._health.took(run.name, run.step.flow.name, ran_s / max(self._expected_s(run), 1e-3), now)
         self._health.ended(run.name, outcome, now)
 
     def _show_health(self) -> None:
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -50,7 +50,8 @@
 
 @dataclass(slots=True, eq=False)
 class Run:
-    """A booked run of a task. `number` is 0 until it is known."""
+    """A booked run of a task. `number` is 0 until it is known. `started`: when this scheduler learnt of it. `ran_s`:
+    how long it ran, once it is over and if its agent saw it from its beginning."""
 
     step: Step
     index: int
@@ -59,6 +60,7 @@
     started: float
     checkpoint: str = ""
     number: int = 0
+    ran_s: float | None = None
     stopping: bool = False
 
     @property
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -480,6 +480,29 @@
     assert isinstance(hold, HoldCall) and 1500 <= hold.wait_ms <= 2000
 
 
+def test_end_tells_how_long_the_run_took(desk: Desk) -> None:
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    desk.answer(desk.only(HoldCall), running=(RunProgress(RunKey("a.0.0.0", 1), "", 1),))
+    for _ in range(2):
+        desk.pass_time(1.0)
+        desk.receive(LeaseGrant(int(desk.now * 1000), 60_000))
+    desk.answer(desk.only(HoldCall), ends=(EndEntry(1, RunKey("a.0.0.0", 1), RunEnd.DONE, ""),))
+    (report,) = [record for record in desk.sent if isinstance(record, RunReport) and record.ends]
+    assert 2000 <= report.ends[0].ran_ms <= 2100
+
+
+def test_end_of_a_run_that_may_have_begun_before_its_start_was_answered_tells_no_time(desk: Desk) -> None:
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall), CallVerdict.UNCLEAR, after=0.3)
+    desk.answer(desk.only(StartCall))
+    ended = (EndEntry(1, RunKey("a.0.0.0", 1), RunEnd.DONE, ""),)
+    for hold in [call for call in desk.calls if isinstance(call, HoldCall)]:
+        desk.answer(hold, ends=ended)
+    (report,) = [record for record in desk.sent if isinstance(record, RunReport) and record.ends]
+    assert report.ends[0].ran_ms == 0
+
+
 def test_looks_come_as_soon_as_a_run_there_asks_for(desk: Desk) -> None:
     desk.receive(LeaseGrant(int(desk.now * 1000), 60_000, 1200))
     desk.want(order("a.0.0.0"), replace(order("b.0.0.0"), look_gap_ms=60))
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any, TypeVar
 
@@ -535,6 +536,18 @@
     assert all(order.spec == "work" and order.needs == Resources(1000, 0, 0) for order in orders)
 
 
+def test_time_that_an_agent_measured_is_told_to_the_scheduler() -> None:
+    """Reported ends, not the times at which they come, say how fast a worker is."""
+    bench = Bench()
+    agent = bench.agent()
+    assert bench.ask("POST", body=job({"count": 3}))[0] == 200
+    bench.clock.at += 60.0
+    agent.report(*(replace(ended(task(index), 1, RunEnd.DONE, index + 1), ran_ms=500) for index in range(3)))
+    bench.settle()
+    assert bench.head.scheduler._health._workers["i-1"].samples == 3
+    assert bench.head.scheduler._health._workers["i-1"].pace == pytest.approx(0.0)
+
+
 def look_gaps(*steps: dict[str, Any]) -> list[int]:
     """The least time between two looks that each run of a job asks for (ms)."""
     bench = Bench()
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -744,6 +744,68 @@
     assert health.standing("a") is Standing.SOUND
 
 
+def test_a_later_step_that_fails_everywhere_condemns_nobody_though_the_first_succeeded() -> None:
+    health = Health()
+    for number in range(20):
+        for instance in ("a", "b"):
+            _succeed(health, f"poison{number}", instance, number * 0.5)
+        for index in range(3):
+            health.ended((StepKey(f"poison{number}", 0, 1), index, "a"), RunEnd.FAILED, number * 0.5)
+        for index in range(3):
+            health.ended((StepKey(f"poison{number}", 0, 1), index, "b"), RunEnd.FAILED, number * 0.5)
+        assert {health.standing(instance) for instance in "ab"} == {Standing.SOUND}
+
+
+def _taken_over(made: Scheduler, job: str, count: int, instance: str, now: float) -> None:
+    """Runs that this scheduler learns of while they are under way."""
+    made.put_step(step(job, count=count, since=now, objective_at=now + 20.0))
+    for index in range(count):
+        made.run_started(StepKey(job, 0, 0), index, instance, 1, now)
+
+
+def _ends_well(made: Scheduler, job: str, index: int, instance: str, now: float, ran_s: float | None) -> None:
+    if ran_s is not None:
+        made.run_lasted(StepKey(job, 0, 0), index, instance, 1, ran_s)
+    made.run_ended(StepKey(job, 0, 0), index, instance, 1, RunEnd.DONE, now)
+
+
+def test_a_new_head_does_not_take_sound_workers_for_slow() -> None:
+    """Runs that it has taken over end soon after it began: measured from then, all others would seem slow."""
+    made = scheduler(*(worker(f"w{number}") for number in range(3)))
+    for number in range(3):
+        _taken_over(made, f"old{number}", 4, f"w{number}", 0.0)
+        for index in range(4):
+            _ends_well(made, f"old{number}", index, f"w{number}", 0.05, 2.0)
+    for number in range(3):
+        _taken_over(made, f"new{number}", 8, f"w{number}", 0.1)
+        for index in range(8):
+            _ends_well(made, f"new{number}", index, f"w{number}", 2.1, 2.0)
+    assert {made._health.standing(f"w{number}") for number in range(3)} == {Standing.SOUND}
+    assert {made._health.weight(f"w{number}") for number in range(3)} == {1.0}
+
+
+def test_ends_that_come_late_do_not_make_a_worker_slow() -> None:
+    """Its agent was cut off from the head for a while, or another process of the agent began meanwhile."""
+    made = scheduler(worker("w0"), worker("w1"))
+    _taken_over(made, "j0", 8, "w0", 0.0)
+    _taken_over(made, "j1", 8, "w1", 0.0)
+    for index in range(8):
+        _ends_well(made, "j0", index, "w0", 2.0, 2.0)
+        _ends_well(made, "j1", index, "w1", 9.0, 2.0 if index % 2 else None)
+    assert made._health.weight("w1") == 1.0
+
+
+def test_a_worker_on_which_work_takes_long_is_found_out_by_what_its_agent_measured() -> None:
+    made = scheduler(worker("w0"), worker("w1"))
+    _taken_over(made, "j0", 8, "w0", 0.0)
+    _taken_over(made, "j1", 12, "w1", 0.0)
+    for index in range(8):
+        _ends_well(made, "j0", index, "w0", 2.0, 2.0)
+    for index in range(12):
+        _ends_well(made, "j1", index, "w1", 2.0, 18.0)
+    assert made._health.standing("w1") is Standing.AVOIDED
+
+
 def test_a_probe_is_the_way_back_and_pauses_grow() -> None:
     health = Health()
     _fail(health, "j1", "a", 0.0)
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -144,6 +144,8 @@
         show_host(keeper, pool, host)
 
     monkeypatch.setattr(TrustKeeper, "_show_host", counted)
+    made.run_started(placement.key, 0, placement.instance, 1, 0.1)
+    made.run_lasted(placement.key, 0, placement.instance, 1, 0.9)
     made.run_ended(placement.key, 0, placement.instance, 1, RunEnd.DONE, 1.0)
     assert set(looked) == {placement.instance}
 
