--- a/millethead/scheduling/looks.py
+++ b/millethead/scheduling/looks.py
@@ -13,7 +13,7 @@
 SCARCE_GAP_S = 0.2  # where room is scarce
 BACKLOG_GAP_S = 0.1  # where something waits and hardly any room is left: what ends unseen is room lost
 SHORTEST_GAP_S = 0.06
-SLACK_SHARE = 0.2  # part of what a job can spare that looks may cost it
+SLACK_SHARE = 0.25  # part of what a job can spare that looks may cost it
 SCARCE_USE, WAITED_FOR_USE = 0.65, 0.4  # part of a service in use from which room is scarce, also if something waits
 BACKLOG_USE = 0.85  # part of a service in use from which what waits has to wait for ends
 
--- a/millethead/scheduling/placement.py
+++ b/millethead/scheduling/placement.py
@@ -199,6 +199,11 @@
         """Give room back."""
         self._set_booked(host, minus(host.booked, needs))
 
+    @property
+    def capacity(self) -> Resources:
+        """Of all open hosts together."""
+        return self._capacity
+
     @property
     def used_share(self) -> float:
         """The largest part of any kind of resource that is booked on the open hosts together."""
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -309,6 +309,7 @@
             flow.pool.tags.withdraw(flow.name)
         step.tagged = step.units
         step.tested_at = -1
+        flow.pool.count_waiting(step)
         if not step.units:
             drop_reservation(step, flow.pool)
         self._enter_lane(step, now)
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -16,7 +16,7 @@
 
 from millethead.execution.messages import Resources
 from millethead.scheduling.model import PendingStep, PendingTask, QueueSpec, StepKey, WaitReason
-from millethead.scheduling.placement import NOTHING, UNBOUNDED, Demand, Host, Hosts, share
+from millethead.scheduling.placement import NOTHING, UNBOUNDED, Demand, Host, Hosts, plus, share, times
 from millethead.scheduling.tags import ArrivalRate, TagSchedule
 
 if TYPE_CHECKING:
@@ -32,6 +32,8 @@
 WEIGHT_STEP = 8.0  # weight of a priority over the next lower one
 LEAST_SLACK_S = 0.1
 SIZE_DELAY = 0.5  # times the slack of its queue by which a job of mean work goes later
+OVERLOAD_SIZE_DELAY = 3.0  # the same under overload
+OVERLOAD_SHARE = 0.5  # part of the slack that the work which waits takes under overload
 LEAST_RATE = 0.1  # slots per second
 FIRST_RATE = 1.0  # slots per second that a queue is taken to bring before any is measured
 
@@ -86,6 +88,7 @@
     look_at: float = inf  # when another look is due though no room has grown
     reason: WaitReason = WaitReason.READY
     tagged: int = 0  # units that have a tag
+    counted: int = 0  # waiting tasks that the backlog of the service counts
     room_bound: int = 0  # members of a gang for which there is room at most
     arrived: float = inf  # when its first task waited
     idle_since: float = inf  # since when none of its tasks has a run
@@ -256,10 +259,13 @@
 
     def size_delay(self, work: float) -> float:
         """Seconds by which a unit of a job with so much work left goes later than its latest start says: where not all
-        can be in time, many small jobs are worth more than the large one that would take their place."""
+        can be in time, many small jobs are worth more than the large one that would take their place. The more so, the
+        more work waits: a backlog that takes a good part of the slack makes most jobs late."""
         if self.mean_work <= 0.0:
             return 0.0
-        return SIZE_DELAY * self.slack * work / self.mean_work
+        overload = min(1.0, self.pool.backlog_s / (OVERLOAD_SHARE * self.slack))
+        weight = SIZE_DELAY + (OVERLOAD_SIZE_DELAY - SIZE_DELAY) * overload
+        return weight * self.slack * work / self.mean_work
 
     @property
     def slack(self) -> float:
@@ -293,11 +299,23 @@
     reservations: dict[StepKey, Reservation] = field(default_factory=dict)
     little_used_since: float = inf  # see `starvation`
     busy_since: float = -inf  # since when more is in use; infinite while it is little used
+    waiting: Resources = NOTHING  # needs of all tasks that wait, times the milliseconds that they take by estimate
     least_health: float = 0.0  # the factor that even a worker that is avoided has; see `trust`
     _grown: list[Host] = field(default_factory=list)
     _since: tuple[int, int] = (-1, -1)  # the last answer of `grown_since`: from where to where
     _since_hosts: list[Host] = field(default_factory=list)
 
+    @property
+    def backlog_s(self) -> float:
+        """Seconds that all workers together need for what waits, by estimate."""
+        return share(self.waiting, self.hosts.capacity) / 1000.0
+
+    def count_waiting(self, step: Step) -> None:
+        """Bring the backlog in line with the tasks of a step that wait."""
+        task_ms = int(1000 * step.spec.estimate_s)
+        self.waiting = plus(self.waiting, times(step.spec.needs, (len(step.tasks) - step.counted) * task_ms))
+        step.counted = len(step.tasks)
+
     def first_steps(self, count: int) -> Iterator[Step]:
         """The first steps of each lane."""
         lanes = (lane for flow in self.flows.values() for lane in flow.lanes.values())
