--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -1365,7 +1365,9 @@
     made.schedule(0.0)
     flow = made._steps[sized.key].flow
     assert flow.size_delay(10.0) == pytest.approx(SIZE_DELAY * flow.slack)  # what waits fits into the room
-    made.put_step(step("many", count=200, needs=HALF, estimate_s=2.0))
+    many = step("many", count=200, needs=HALF, estimate_s=2.0)
+    many.work_left = 10.0
+    made.put_step(many)
     assert flow.pool.backlog_s > OVERLOAD_SHARE * flow.slack
     assert flow.size_delay(10.0) == pytest.approx(OVERLOAD_SIZE_DELAY * flow.slack)
 
