--- a/millethead/execution/life.py
+++ b/millethead/execution/life.py
@@ -77,6 +77,11 @@
         """Whether nothing more may be started there."""
         return self.leaves_at < math.inf or (self.info is not None and self.info.draining)
 
+    @property
+    def cold(self) -> bool:
+        """Whether it is still slow from its beginning, by its newest heartbeat."""
+        return self.info is not None and self.info.cold_left_ms > 0
+
     # ---- deadlines -----------------------------------------------------------------------------------
 
     def deadline(self, lease_end: float, hold_max_ms: float, now: float) -> int | None:
--- a/millethead/execution/order_answers.py
+++ b/millethead/execution/order_answers.py
@@ -24,7 +24,7 @@
     if run is None:
         return
     if answer.result is CallVerdict.DONE:
-        run.began_at = None if run.unclear else now
+        run.began_at = None if run.unclear or life.cold else now
         confirm(life, run, now)
     elif answer.result is CallVerdict.UNCLEAR:
         run.unclear = True
--- a/millethead/execution/runs.py
+++ b/millethead/execution/runs.py
@@ -42,7 +42,7 @@
     `wanted`: by the newest list of the head. `unclear`: a start may have been carried out, or may be later.
     `calling`: a start or stop is under way. `tries`: starts or stops made in this state. `retry_at`: no call before.
     `since`: when the state was entered. `tried_at`: since when its start is due.
-    `began_at`: when its start was answered; None where that may have been carried out before.
+    `began_at`: when its start was answered; None where that may have been carried out before, or the worker was cold.
     `seen_at`: when the worker was first known to have it. `listed`: its end was listed, not concluded. `saved`,
     `percent` and `told_at`: its progress as the head was told last. Times are seconds of the agent's steady clock.
     """
--- a/millethead/scheduling/health.py
+++ b/millethead/scheduling/health.py
@@ -5,8 +5,8 @@
 
 Some work fails always and everywhere. So failures of a step count against a worker only while the step has not failed
 on another sound worker too; and of several failures of one step at one worker only one counts, unless tasks of the step
-have succeeded elsewhere. That earlier steps of its job succeeded says nothing. Paces are compared
-between tasks of one step where possible, since estimates are rough.
+have succeeded elsewhere, and none has failed there. That earlier steps of its job succeeded says nothing. Paces are
+compared between tasks of one step where possible, since estimates are rough.
 
 Times are seconds of a steady clock.
 """
@@ -281,12 +281,16 @@
         if self._blames_itself(known, instance):
             return False
         counted[work] = counted.get(work, 0) + 1
-        return counted[work] <= (COUNTED_PER_STEP if known.done_on - {instance} else 1)
+        only_here = bool(known.done_on - {instance}) and not self._fails_elsewhere(known, instance)
+        return counted[work] <= (COUNTED_PER_STEP if only_here else 1)
 
     def _blames_itself(self, known: _Record, instance: str) -> bool:
         """Whether a step's failures lie with itself: it failed on other sound workers too, and never succeeded."""
-        others = known.failed_on - {instance}
-        return not known.done_on and any(self.standing(other) is Standing.SOUND for other in others)
+        return not known.done_on and self._fails_elsewhere(known, instance)
+
+    def _fails_elsewhere(self, known: _Record, instance: str) -> bool:
+        """Whether tasks of a step have failed on another sound worker: some of them may be at fault themselves."""
+        return any(self.standing(other) is Standing.SOUND for other in known.failed_on - {instance})
 
     def _stands_still(self, name: RunName, now: float) -> None:
         worker = self._worker(name[2])
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -503,6 +503,15 @@
     assert report.ends[0].ran_ms == 0
 
 
+def test_end_of_a_run_at_a_cold_worker_tells_no_time(desk: Desk) -> None:
+    desk.beat(info("i-1", 2, cold_left_ms=4000))
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    desk.answer(desk.only(HoldCall), ends=(EndEntry(1, RunKey("a.0.0.0", 1), RunEnd.DONE, ""),))
+    (report,) = [record for record in desk.sent if isinstance(record, RunReport) and record.ends]
+    assert report.ends[0].ran_ms == 0
+
+
 def test_looks_come_as_soon_as_a_run_there_asks_for(desk: Desk) -> None:
     desk.receive(LeaseGrant(int(desk.now * 1000), 60_000, 1200))
     desk.want(order("a.0.0.0"), replace(order("b.0.0.0"), look_gap_ms=60))
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -756,6 +756,18 @@
         assert {health.standing(instance) for instance in "ab"} == {Standing.SOUND}
 
 
+def test_a_step_of_which_some_tasks_fail_everywhere_condemns_nobody() -> None:
+    health = Health()
+    for index in range(4):
+        _fail(health, "partly", "b", 0.0, index)
+        health.ended(_name("partly", "c", 10 + index), RunEnd.DONE, 0.0)
+    assert health.standing("b") is Standing.AVOIDED  # it fails there alone
+    _fail(health, "partly", "a", 0.1, 20)
+    for index in range(4):
+        _fail(health, "partly", "a", 0.2, index)
+    assert {health.standing(instance) for instance in "abc"} == {Standing.SOUND}
+
+
 def _taken_over(made: Scheduler, job: str, count: int, instance: str, now: float) -> None:
     """Runs that this scheduler learns of while they are under way."""
     made.put_step(step(job, count=count, since=now, objective_at=now + 20.0))
