--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -42,8 +42,9 @@
 from millethead.scheduling.reservation import drop_reservation, use_reservation
 from millethead.scheduling.room_making import make_room
 from millethead.scheduling.starvation import is_little_used, next_starvation, note_use, starving_steps
-from millethead.scheduling.state import Flow, Lane, Pool, Run, Step
+from millethead.scheduling.state import Flow, Pool, Run, Step
 from millethead.scheduling.trust import TrustKeeper
+from millethead.scheduling.upkeep import step_changed
 
 GANG_WAIT_S = 3.0  # the first members of a gang wait for the others
 LASTING_STEADY_S = 3.0  # a task that lasts and fails later than this says nothing of its worker
@@ -133,19 +134,19 @@
             known = self._new_step(step, now)
         for task in step.tasks.values():
             known.tasks[task.index] = task
-        self._changed(known, now)
+        step_changed(known, now)
 
     def task_waits(self, key: StepKey, task: PendingTask, now: float) -> None:
         """A task waits (again) for a worker. Raises UnknownStep."""
         step = self._step(key)
         step.tasks[task.index] = task
-        self._changed(step, now)
+        step_changed(step, now)
 
     def task_withdrawn(self, key: StepKey, index: int) -> None:
         """A task no longer waits."""
         step = self._steps.get(key)
         if step is not None and step.tasks.pop(index, None) is not None:
-            self._changed(step, None)
+            step_changed(step, None)
 
     def remove_step(self, key: StepKey) -> None:
         """A step is over or cancelled. What of it still runs stays booked until `run_ended`."""
@@ -155,7 +156,7 @@
         step.tasks.clear()
         for run in step.runs:
             run.stopping = True
-        self._changed(step, None)
+        step_changed(step, None)
         step.flow.steps -= 1
         self._forget_idle_flows(step.flow.pool)
 
@@ -168,7 +169,7 @@
         known.number = run
         known.started = now
         if known.step.tasks.pop(index, None) is not None:
-            self._changed(known.step, now)
+            step_changed(known.step, now)
 
     def run_lasted(self, key: StepKey, index: int, instance: str, run: int, seconds: float) -> None:
         """How long a run ran, as its agent saw it; its end follows."""
@@ -185,7 +186,7 @@
         self._free(known)
         if not known.step.occupied:
             known.step.idle_since = now
-        self._changed(known.step, now)
+        step_changed(known.step, now)
         self._show_health()
 
     def progress(self, key: StepKey, index: int, instance: str, percent: int, now: float) -> None:
@@ -278,7 +279,7 @@
             self._health.started(run.name)
             use_reservation(step, flow.pool, instance, run.needs)
             yield Placement(step.key, task.index, instance, task.checkpoint)
-        self._changed(step, now)
+        step_changed(step, now)
         self._show_health()
 
     def _note_look(self, pool: Pool, now: float) -> None:
@@ -299,41 +300,6 @@
             step.occupy(index, instance)
         return step
 
-    def _changed(self, step: Step, now: float | None) -> None:
-        """Bring tags and lane in line with the units that wait; `now` is None where none can have come."""
-        flow = step.flow
-        more = step.units - step.tagged
-        if more > 0 and now is not None:
-            self._arrived(step, more, now)
-        for _ in range(-more):
-            flow.pool.tags.withdraw(flow.name)
-        step.tagged = step.units
-        step.tested_at = -1
-        flow.pool.count_waiting(step)
-        if not step.units:
-            drop_reservation(step, flow.pool)
-        self._enter_lane(step, now)
-        flow.pool.dirty = True
-
-    def _arrived(self, step: Step, units: int, now: float) -> None:
-        flow = step.flow
-        size = flow.pool.hosts.slots(step.spec.needs) * step.members
-        flow.rate.add(size * units, now)
-        tags = flow.pool.tags.queue(flow.name)
-        tags.floor, tags.weight = flow.shares(now)
-        flow.pool.tags.arrive(flow.name, size, units, now)
-
-    def _enter_lane(self, step: Step, now: float | None) -> None:
-        lanes = step.flow.lanes
-        if step.units and step.lane is not None:
-            step.lane.tested_at = -1
-        elif step.units and now is not None:
-            lanes.setdefault(step.shape, Lane(step.spec.needs)).add(step, now)
-        elif step.lane is not None:
-            step.lane.remove(step)
-            if not lanes[step.shape]:
-                del lanes[step.shape]
-
     def _new_host(self, worker: WorkerState) -> None:
         host = Host(worker)
         self._hosts[worker.instance] = host
--- a/millethead/scheduling/starvation.py
+++ b/millethead/scheduling/starvation.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from math import inf
 
 from millethead.scheduling.state import Pool, Step
@@ -15,7 +16,8 @@
 STARVATION_S = 2.0  # leaves a second to commit the assignment and to start the run
 LITTLE_USED = 0.6  # part of the service that is booked; of that, up to a tenth has not begun or has ended already
 BUSY_SPELL_S = 1.0  # a service that is more in use for less than this counts as little used meanwhile
-HEADS = 4  # steps of each lane that are looked at
+HEADS = 4  # idle steps of each lane that are looked at
+SCAN = 64  # steps of each lane among which they are sought
 
 
 def is_little_used(pool: Pool) -> bool:
@@ -51,4 +53,9 @@
 
 def _idle_steps(pool: Pool) -> list[Step]:
     """The first steps of each lane of which nothing runs."""
-    return [step for step in pool.first_steps(HEADS) if not step.occupied]
+    lanes = (lane for flow in pool.flows.values() for lane in flow.lanes.values())
+    return [step for lane in lanes for step in islice(filter(_is_idle, islice(lane, SCAN)), HEADS)]
+
+
+def _is_idle(step: Step) -> bool:
+    return not step.occupied
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -1185,6 +1185,18 @@
     assert not made.schedule(5.0).placements
 
 
+def test_a_step_starves_behind_others_of_which_something_runs() -> None:
+    made = scheduler(worker("sound", "r1"), worker("avoided", "r2"), worker("other", "r1"))
+    _avoid(made, "avoided")
+    for number in range(6):
+        made.put_step(step(f"runs{number}", count=3, requires="r2", objective_at=5.0 + number))
+        made.run_started(StepKey(f"runs{number}", 0, 0), 0, "avoided", 1, 0.0)
+    made.put_step(step("starving", requires="r2", objective_at=60.0))
+    assert not made.schedule(0.5).placements
+    placed = [placement for at in (2.4, 2.6) for placement in made.schedule(at).placements]
+    assert [(placement.key.job, placement.instance) for placement in placed] == [("starving", "avoided")]
+
+
 def test_a_short_spell_of_use_does_not_begin_the_wait_anew() -> None:
     made = scheduler(worker("sound", "r1"), worker("avoided", "r2"), worker("other", "r1"))
     _avoid(made, "avoided")
