Agent: a worker that says DELETE and serves on is held until its runs are over

Before, its life counted as over 0.2 s after the DELETE and its tasks ran twice; now it gets nothing new, is looked at, and is over once nothing runs there or its port is closed. Virtual time has such workers too (kind leave), with a mutant. The mutant earlier_leases_forgotten may show as ROUTE as well: what runs on unknown to the head also takes a place of its step (as lost_with_session already said).

--- a/millethead/execution/agent.py
+++ b/millethead/execution/agent.py
@@ -46,7 +46,7 @@
 
 SUSPICION_AFTER_S = 0.7  # of unanswered calls
 SUSPICION_INTERVAL_S = 0.5
-LEAVE_GRACE_S = 0.2  # from a worker's DELETE until its life counts as over
+LEAVE_GRACE_S = 0.2  # from a worker's DELETE until its life counts as over, if nothing runs there
 MOST_OVER = 64  # lives remembered to be over
 MOST_KEPT = 256  # lists of the head kept for a life that is not known yet
 
@@ -110,10 +110,14 @@
         return self._advance(now)
 
     def worker_left(self, instance: str, now: float) -> list[Action]:
-        """The worker says that this life ends; it counts as over shortly after."""
+        """The worker says that this life ends. Some serve on for a while then: the life counts as over shortly after,
+        but not while it may run something that no list or closed port has shown to be gone."""
         life = self._life
-        if life is not None and life.instance == instance:
-            life.leaves_at = min(life.leaves_at, now + LEAVE_GRACE_S)
+        if life is not None and life.instance == instance and life.leaves_at == math.inf:
+            life.leaves_at = now + LEAVE_GRACE_S
+            if life.info is not None:
+                life.info = replace(life.info, draining=True)
+                self._tell_worker()
         return self._advance(now)
 
     def call_ended(self, number: int, answer: CallAnswer, now: float) -> list[Action]:
@@ -183,6 +187,8 @@
         self._send(LifeOver(life.instance))
 
     def _take_beat(self, life: Life, info: WorkerInfo, clock_ms: float | None, now: float) -> None:
+        if life.leaves_at < math.inf:
+            info = replace(info, draining=True)
         before, life.info = life.info, info
         life.heard_at = now
         life.answers()
@@ -283,7 +289,7 @@
         self._wake.clear()
         self._keep_session(now)
         life = self._life
-        if life is not None and self._wake.due(life.leaves_at, now):
+        if life is not None and self._wake.due(life.leaves_at, now) and not life.runs.any_at_worker():
             self._end_life(life, now)
             self._tell_worker()
             life = None
@@ -296,10 +302,9 @@
         self._check_lapse(life, now)
         for run in life.runs:
             self._calls.settle_run(life, run, now)
-        if life.leaves_at == math.inf:
-            self._calls.stop_runs(life, now)
-            self._calls.start_runs(life, now)
-            self._calls.look(life, now)
+        self._calls.stop_runs(life, now)
+        self._calls.start_runs(life, now)
+        self._calls.look(life, now)
         self._suspect(life, now)
         self._flush(life)
 
--- a/millethead/lab/system_side.py
+++ b/millethead/lab/system_side.py
@@ -76,6 +76,7 @@
         self.clock = MachineClock(1 + random.uniform(-0.01, 0.01), random.uniform(1000, 100_000))
         self.trouble = CallTrouble()
         self.cut = self.silent = self.frozen = self.removed = False
+        self._left = ""  # the life that has said that it ends
         self.process: AgentProcess | None = None
         self.looks = 0
         self._processes = 0
@@ -233,7 +234,7 @@
             return
         self._timeline.after(HEARTBEAT_S * self._random.uniform(0.95, 1.05), self._beat)
         process = self.process
-        if not self.worker.up or self.silent or process is None:
+        if not self.worker.up or self.silent or process is None or self.worker.instance == self._left:
             return
         instance = self.worker.instance
         body = msgspec.json.encode(self.worker.beat(self._timeline.now))
@@ -265,12 +266,21 @@
 
     def worker_leaves(self) -> None:
         """The worker says that it ends, and ends."""
-        instance, process = self.worker.instance, self.process
+        self.say_leave()
         self.crash_worker()
+
+    def say_leave(self) -> None:
+        """The worker says that it ends; it may serve on for a while."""
+        instance, process = self.worker.instance, self.process
+        self._left = instance
+
+        def arrive(process: AgentProcess) -> None:
+            self._events.drain_acknowledged(instance)
+            self._tell(process, lambda agent, now: agent.worker_left(instance, now))
+
         if process is not None:
             self._timeline.after(
-                self._random.uniform(*CALL_DELAY_S),
-                lambda: self._tell(process, lambda agent, now: agent.worker_left(instance, now)),
+                self._random.uniform(*CALL_DELAY_S), lambda: self._post(process, lambda: arrive(process))
             )
 
     def plan_worker(self) -> None:
--- a/millethead/lab/system_troubles.py
+++ b/millethead/lab/system_troubles.py
@@ -217,6 +217,13 @@
 
     def drain_worker(self) -> None:
         """A worker is emptied and taken away; another one may come in its place."""
+        self._drain(says_leave_first=False)
+
+    def leave_first(self) -> None:
+        """A worker says that it ends, never that it drains, and serves on for a while."""
+        self._drain(says_leave_first=True)
+
+    def _drain(self, says_leave_first: bool) -> None:
         side = self._side()
         if side is None or not side.worker.up or side.worker.draining_until is not None:
             return
@@ -226,10 +233,15 @@
         self._note("drain", side.node, lasts, "worker drains")
         side.worker.drain(self._world.timeline.now + left_s)
         instance = side.worker.instance
+        if says_leave_first:
+            side.say_leave()
 
         def leave() -> None:
             if side.worker.up and side.worker.instance == instance:
-                side.worker_leaves()
+                if says_leave_first:
+                    side.crash_worker()
+                else:
+                    side.worker_leaves()
                 if not stays:
                     self._world.timeline.after(self._random.uniform(0.5, 5), lambda: self._world.new_life(side))
 
@@ -312,6 +324,7 @@
     "crash": Troubles.crash_worker,
     "machine": Troubles.lose_machine,
     "drain": Troubles.drain_worker,
+    "leave": Troubles.leave_first,
     "add": Troubles.add_worker,
     "calls": Troubles.trouble_calls,
     "grey": Troubles.grey_worker,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -646,7 +646,38 @@
     assert not desk.records(LifeOver)
     desk.pass_time(0.3)
     assert desk.records(LifeOver) == [LifeOver("i-1")]
-    assert desk.records(WorkerUpdate) == [WorkerUpdate(None)]
+    assert desk.records(WorkerUpdate) == [WorkerUpdate(info(draining=True)), WorkerUpdate(None)]
+
+
+def test_worker_that_serves_on_after_its_leave_is_held_until_its_runs_are_over(desk: Desk) -> None:
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    desk.take(desk.agent.worker_left("i-1", desk.now))
+    running = (RunProgress(RunKey("a.0.0.0", 1), "", 1),)
+    desk.answer(desk.only(HoldCall), running=running)
+    desk.want(order("b.0.0.0"))  # crosses what the head is told
+    desk.beat(info(sequence=9))  # a late one
+    desk.pass_time(0.3)
+    assert not desk.records(LifeOver) and not desk.starts()
+    hold = desk.only(HoldCall)
+    assert isinstance(hold, HoldCall) and hold.deadline_ms is not None
+    desk.answer(hold, ends=(EndEntry(1, RunKey("a.0.0.0", 1), RunEnd.DONE, ""),))
+    assert ("a.0.0.0", RunEnd.DONE) in desk.ends()
+    assert desk.records(LifeOver) == [LifeOver("i-1")]
+
+
+def test_worker_that_is_gone_after_its_leave_is_over_once_its_port_is_closed(desk: Desk) -> None:
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    desk.take(desk.agent.worker_left("i-1", desk.now))
+    for _ in range(3):
+        assert not desk.records(LifeOver)
+        refused = desk.only(HoldCall)
+        desk.calls.remove(refused)
+        answer = CallAnswer(CallVerdict.NOT_SENT, desk.now, desk.now, no_listener=True)
+        desk.take(desk.agent.call_ended(refused.call, answer, desk.now))
+        desk.pass_time(0.3)
+    assert desk.records(LifeOver) == [LifeOver("i-1")]
 
 
 def test_welcome_of_an_older_epoch_is_refused(desk: Desk) -> None:
--- a/tests/test_system_world.py
+++ b/tests/test_system_world.py
@@ -16,6 +16,8 @@
 from millethead.control.feeder import Feeder
 from millethead.control.head import Head
 from millethead.control.rounds import Rounds
+from millethead.execution.actions import Action
+from millethead.execution.agent import Agent
 from millethead.execution.life import Life
 from millethead.execution.messages import EndsNoted, RunEnd, WorkerInfo
 from millethead.execution.runs import Run, RunState
@@ -164,6 +166,19 @@
     patch.setattr(Agents, "lapsed", lambda agents, node, now: now > agents._lease_ends.get(node, 0.0))
 
 
+def leave_ends_all(patch: Patch) -> None:
+    """A life counts as over once it has said that it ends, whatever runs there."""
+
+    def left(agent: Agent, instance: str, now: float) -> list[Action]:
+        life = agent.life
+        if life is not None and life.instance == instance:
+            agent._end_life(life, now)
+            agent._tell_worker()
+        return agent._advance(now)
+
+    patch.setattr(Agent, "worker_left", left)
+
+
 def sent_before_commit(patch: Patch) -> None:
     """Orders are sent before the assignment is committed."""
     real = Rounds._round
@@ -256,7 +271,8 @@
     mutant(fence_not_raised, "FENCE", "head"),
     mutant(gang_in_part, "GANG", ""),
     mutant(lost_with_session, "TWICE ROUTE", "session"),
-    mutant(earlier_leases_forgotten, "TWICE", "head cut"),
+    mutant(earlier_leases_forgotten, "TWICE ROUTE", "head cut"),  # what runs on unknown also takes a place of its step
+    mutant(leave_ends_all, "TWICE ROUTE LIMIT", "leave", work_x=3.0),
     mutant(sent_before_commit, "TWICE UNASKED", "head chain"),
     mutant(drained_gets_starts, "DRAIN", "drain"),
     mutant(shown_before_commit, "LOST MIXED", "head chain"),
