--- a/millethead/programs/control.py
+++ b/millethead/programs/control.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import secrets
+import sys
 from collections.abc import Callable, Coroutine, Iterator, Sequence
 from pathlib import Path
 from random import Random
@@ -53,7 +55,7 @@
         self._settings, self._control_address = settings, settings.listen.control
         self._address = internal_address(settings)
         self._loop = asyncio.get_running_loop()
-        self._clock = LoopClock()
+        self._clock = LoopClock(self._failed)
         self._random = Random(secrets.randbits(64))
         self._disk: CoreDisk | None = None
         if settings.data_dir is not None:
@@ -146,7 +148,17 @@
         except InvalidSettings as error:
             log.warning("settings_not_read", why=str(error))
 
+    def _failed(self, error: Exception) -> None:
+        """Something unexpected was raised in this member's decisions. It ends at once, as by a loss of power: another
+        member takes over, and the next process begins from its disk. State that is half changed is not gone on with."""
+        log.critical("unexpected_error", node=self._settings.node, exc_info=error)
+        sys.stdout.flush()
+        os._exit(os.EX_SOFTWARE)
+
     def _tick(self) -> None:
+        self._clock.guarded(self._work)
+
+    def _work(self) -> None:
         now = self._loop.time()
         self._replica.tick(now)
         if self._head is not None and now >= self._head_tick:
--- a/millethead/programs/loop_ports.py
+++ b/millethead/programs/loop_ports.py
@@ -23,10 +23,12 @@
 
 
 class LoopClock:
-    """The clocks and timers that the head uses; made while the loop runs."""
+    """The clocks and timers that the head uses; made while the loop runs. `failed` is called where a call raises what
+    nobody expected: the state that it worked on may be half changed."""
 
-    def __init__(self) -> None:
+    def __init__(self, failed: Callable[[Exception], None]) -> None:
         self._loop = asyncio.get_running_loop()
+        self._failed = failed
 
     def now(self) -> float:
         """Steady seconds."""
@@ -37,7 +39,14 @@
         return int(time.time() * MS)
 
     def soon(self, call: Callable[[], None]) -> None:
-        self._loop.call_soon(call)
+        self._loop.call_soon(self.guarded, call)
 
     def later(self, delay_s: float, call: Callable[[], None]) -> None:
-        self._loop.call_later(delay_s, call)
+        self._loop.call_later(delay_s, self.guarded, call)
+
+    def guarded(self, call: Callable[[], None]) -> None:
+        """Make a call."""
+        try:
+            call()
+        except Exception as error:
+            self._failed(error)
