--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -353,6 +353,13 @@
             self._check_leases(moment.now)
             for worker in self.agents.answering_again(moment.now):
                 self.scheduler.put_worker(worker)
+            for change in self.scheduler.health.take_changes():
+                log.info(
+                    "worker_standing",
+                    instance=change.instance,
+                    standing=change.standing.value,
+                    cause=change.cause.value,
+                )
             for preemption in self.scheduler.stalled(moment.now):
                 self.rounds.preempt(preemption)
             self.rounds.want()
--- a/millethead/control/inspect.py
+++ b/millethead/control/inspect.py
@@ -52,7 +52,7 @@
 
 class WorkerReport(msgspec.Struct, frozen=True):
     """One life of a worker. Processor in thousandths of a core, memory in MB; `runs` are open there. `draining`: it
-    gets nothing new; `taken_out`: by the staff."""
+    gets nothing new; `taken_out`: by the staff. `standing`: what its ends and its pace have shown; `cause` of that."""
 
     instance: str
     node: str
@@ -68,6 +68,8 @@
     cpu: int
     mem_mb: int
     gpu: int
+    standing: str
+    cause: str
 
 
 class QueueReport(msgspec.Struct, frozen=True):
@@ -214,6 +216,8 @@
             worker.capacity.cpu,
             worker.capacity.mem_mb,
             worker.capacity.gpu,
+            head.scheduler.health.standing(worker.instance).value,
+            head.scheduler.health.cause(worker.instance).value,
         )
 
 
--- a/millethead/programs/control_figures.py
+++ b/millethead/programs/control_figures.py
@@ -9,6 +9,7 @@
 from millethead.control.inspect import status_report
 from millethead.programs.core_disk import CoreDisk
 from millethead.replication.replica import Replica
+from millethead.scheduling.health import Health, Standing
 from millethead.scheduling.model import WorkerState
 from millethead.storage.scrubber import Scrubber
 from millethead.web.metrics import Figure, Sample, counter, gauge
@@ -49,11 +50,11 @@
         [Sample((queue.queue, state), count) for queue in status.queues for state, count in queue.jobs.items()],
         ("queue", "state"),
     )
-    yield _workers(head.agents.workers, frozenset(head.agents.sessions))
+    yield _workers(head.agents.workers, frozenset(head.agents.sessions), head.scheduler.health)
 
 
-def _workers(workers: Mapping[str, WorkerState], connected: frozenset[str]) -> Figure:
-    counts = Counter((worker.service, _worker_state(worker, connected)) for worker in workers.values())
+def _workers(workers: Mapping[str, WorkerState], connected: frozenset[str], health: Health) -> Figure:
+    counts = Counter((worker.service, _worker_state(worker, connected, health)) for worker in workers.values())
     return Figure(
         "workers",
         "Workers by service and state.",
@@ -62,9 +63,12 @@
     )
 
 
-def _worker_state(worker: WorkerState, connected: frozenset[str]) -> str:
+def _worker_state(worker: WorkerState, connected: frozenset[str], health: Health) -> str:
     if worker.draining:
         return "draining"
     if worker.node not in connected:
         return "agent_away"
-    return "ready" if worker.reachable else "silent"
+    if not worker.reachable:
+        return "silent"
+    standing = health.standing(worker.instance)
+    return "ready" if standing is Standing.SOUND else standing.value
--- a/millethead/programs/text_reports.py
+++ b/millethead/programs/text_reports.py
@@ -9,6 +9,7 @@
 from millethead.control.inspect import JobReport, JobSummary, StatusReport, StepReport, VoterReport, WorkerReport
 from millethead.programs.offline import DiskReport, LogReport
 from millethead.replication.view import View
+from millethead.scheduling.health import Standing
 
 LABEL_WIDTH = 14
 MOST_WORKERS_LISTED = 200
@@ -85,7 +86,9 @@
         return "taken out"
     if worker.draining:
         return "draining"
-    return "ready" if worker.connected else "agent away"
+    if not worker.connected:
+        return "agent away"
+    return "ready" if worker.standing == Standing.SOUND.value else f"{worker.standing} ({worker.cause})"
 
 
 def _worker(worker: WorkerReport) -> tuple[object, ...]:
--- a/millethead/scheduling/health.py
+++ b/millethead/scheduling/health.py
@@ -35,6 +35,7 @@
 SAME_STEP, SAME_QUEUE = 0.4, 0.1  # how far one sample moves a worker's pace, by what it is compared with
 QUEUE_MOVE = 0.05
 STEPS_KEPT = 4096  # remembered
+CHANGES_KEPT = 256  # until they are told
 
 RunName = tuple[StepKey, int, str]  # step, index, instance
 Work = tuple[str, int]  # a step of a job, whatever its time
@@ -57,6 +58,15 @@
     SLOW = "slow"
 
 
+@dataclass(frozen=True, slots=True)
+class StandingChange:
+    """A worker is held to be something else from now on."""
+
+    instance: str
+    standing: Standing
+    cause: Cause
+
+
 @dataclass(frozen=True, slots=True)
 class _End:
     at: float
@@ -114,6 +124,7 @@
         self._queues: dict[str, float] = {}
         self._watches: dict[RunName, _Watch] = {}
         self._pausing: set[str] = set()
+        self._told: deque[StandingChange] = deque(maxlen=CHANGES_KEPT)
 
     # ---- what is asked ---------------------------------------------------------------------------------------------
 
@@ -122,6 +133,17 @@
         worker = self._workers.get(instance)
         return worker.standing if worker else Standing.SOUND
 
+    def cause(self, instance: str) -> Cause:
+        """Why a worker is not sound."""
+        worker = self._workers.get(instance)
+        return worker.cause if worker else Cause.NONE
+
+    def take_changes(self) -> list[StandingChange]:
+        """The changes of standing since the last time, the last ones of very many."""
+        taken = list(self._told)
+        self._told.clear()
+        return taken
+
     def weight(self, instance: str) -> float:
         """A factor of the worker's weight, at most 1; 0: it gets nothing."""
         worker = self._workers.get(instance)
@@ -217,6 +239,7 @@
     def _move(self, worker: _Worker, standing: Standing, cause: Cause, now: float) -> None:
         """The one place where a worker's standing changes."""
         worker.standing, worker.cause = standing, cause
+        self._told.append(StandingChange(worker.instance, standing, cause))
         worker.probe = None
         self.changed.add(worker.instance)
         self._pausing.discard(worker.instance)
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -58,8 +58,8 @@
         self._far_times = far_times
         self._chooser = Chooser(random, far_times)
         self._finder = UnitFinder(self._chooser)
-        self._health = Health()
-        self._trust = TrustKeeper(self._health)
+        self.health = Health()  # what is held of the workers
+        self._trust = TrustKeeper(self.health)
         self._queues: dict[str, QueueSpec] = {}
         self._pools: dict[str, Pool] = {}
         self._steps: dict[StepKey, Step] = {}
@@ -108,7 +108,7 @@
             pool.hosts.remove(host)
             pool.shrank()
             self._trust.note(pool)
-        self._health.forget(instance)
+        self.health.forget(instance)
 
     def worker(self, instance: str) -> WorkerState | None:
         """A worker with its free room."""
@@ -195,13 +195,13 @@
         if run is None or run.step.spec.long_running:
             return
         patience = GANG_WAIT_S if run.step.spec.gang and not percent else 0.0
-        self._health.progressed(run.name, run.step.flow.name, self._expected_s(run), patience, percent, now)
+        self.health.progressed(run.name, run.step.flow.name, self._expected_s(run), patience, percent, now)
         self._show_health()
 
     def stalled(self, now: float) -> tuple[Preemption, ...]:
         """Runs that stand still though they should move, also those that are being stopped: they may be moved, if that
         is worth the work thrown away."""
-        return tuple(Preemption(*name) for name in self._health.stalled() if name in self._runs)
+        return tuple(Preemption(*name) for name in self.health.stalled() if name in self._runs)
 
     def look_gap(self, instance: str) -> float:
         """The least time between two looks at a worker (s), whatever runs there."""
@@ -213,7 +213,7 @@
     def schedule(self, now: float) -> Decision:
         """Place what can be placed, and say what is to be stopped. Placements are booked, and each must be followed by
         `run_ended` some time; what is to be stopped is expected to end soon."""
-        self._health.wake(now)
+        self.health.wake(now)
         self._show_health()
         placements: list[Placement] = []
         preemptions: list[Preemption] = []
@@ -223,7 +223,7 @@
                 preemptions += make_room(pool, now)
         next_look = min((pool.look_at for pool in self._pools.values()), default=inf)
         if self._steps:
-            next_look = min(next_look, self._health.next_wake)
+            next_look = min(next_look, self.health.next_wake)
         return Decision(tuple(placements), tuple(preemptions), None if next_look == inf else max(now, next_look))
 
     def why_waiting(self, key: StepKey, index: int, now: float) -> WaitReason:
@@ -276,7 +276,7 @@
             del step.tasks[task.index]
             run = self._book(step, task.index, instance, now)
             run.checkpoint = task.checkpoint
-            self._health.started(run.name)
+            self.health.started(run.name)
             use_reservation(step, flow.pool, instance, run.needs)
             yield Placement(step.key, task.index, instance, task.checkpoint)
         step_changed(step, now)
@@ -362,16 +362,16 @@
         if outcome is RunEnd.FAILED and spec.long_running and (ran_s is None or ran_s > LASTING_STEADY_S):
             outcome = RunEnd.STOPPED
         if outcome is RunEnd.DONE and ran_s is not None and not (run.checkpoint or spec.gang or spec.long_running):
-            self._health.took(run.name, run.step.flow.name, ran_s / max(self._expected_s(run), 1e-3), now)
-        self._health.ended(run.name, outcome, now)
+            self.health.took(run.name, run.step.flow.name, ran_s / max(self._expected_s(run), 1e-3), now)
+        self.health.ended(run.name, outcome, now)
 
     def _show_health(self) -> None:
         """Carry what has changed over to the hosts."""
-        for instance in sorted(self._health.changed):
+        for instance in sorted(self.health.changed):
             host = self._hosts.get(instance)
             if host is not None:
                 self._trust.note(self._pool(host.service), host)
-        self._health.changed.clear()
+        self.health.changed.clear()
         self._trust.carry_over()
 
     def _forget_idle_flows(self, pool: Pool) -> None:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -24,6 +24,7 @@
 from millethead.rollout.register import Kept
 from millethead.rollout.store import Store
 from millethead.rpc.codec import decode_any, encode, encode_any
+from millethead.scheduling.model import StepKey
 from millethead.storage.identity import load_identity
 from millethead.storage.log import Entry, LogFile
 
@@ -154,6 +155,13 @@
 AT = ("--control", "10.0.0.1:8146", "--internal-port", 7660)
 
 
+def test_status_tells_which_worker_is_left_out_and_why(core):
+    core.add_worker()
+    for number in range(3):
+        core.head.scheduler.health.ended((StepKey(f"j{number}", 0, 0), 0, "i-side-1"), RunEnd.FAILED, 0.0)
+    assert "avoided (fails)" in run("status", *AT).stdout.splitlines()[-1]
+
+
 def test_status_tells_view_configuration_queues_and_workers(core):
     core.add_worker()
     core.submit(JOB_A, ONE)
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -9,6 +9,7 @@
 from typing import Any, TypeVar
 
 import pytest
+import structlog
 
 from millethead.control.agents import LEASE_S, Agents, AgentSession
 from millethead.control.calls import (
@@ -544,8 +545,19 @@
     bench.clock.at += 60.0
     agent.report(*(replace(ended(task(index), 1, RunEnd.DONE, index + 1), ran_ms=500) for index in range(3)))
     bench.settle()
-    assert bench.head.scheduler._health._workers["i-1"].samples == 3
-    assert bench.head.scheduler._health._workers["i-1"].pace == pytest.approx(0.0)
+    assert bench.head.scheduler.health._workers["i-1"].samples == 3
+    assert bench.head.scheduler.health._workers["i-1"].pace == pytest.approx(0.0)
+
+
+def test_change_of_a_workers_standing_is_logged_once() -> None:
+    bench = Bench()
+    bench.agent()
+    for number in range(3):
+        bench.head.scheduler.health.ended((StepKey(f"j{number}", 0, 0), 0, "i-1"), RunEnd.FAILED, bench.clock.at)
+    with structlog.testing.capture_logs() as lines:
+        bench.pass_time(1.5)
+    (line,) = [line for line in lines if line["event"] == "worker_standing"]
+    assert (line["instance"], line["standing"], line["cause"]) == ("i-1", "avoided", "fails")
 
 
 def look_gaps(*steps: dict[str, Any]) -> list[int]:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -16,10 +16,12 @@
 from test_system_docs import section
 
 from millethead.control.calls import ConfigurationAck, DrainCall
+from millethead.execution.messages import RunEnd
 from millethead.net.parse import Request
 from millethead.programs.agent_figures import agent_figures
 from millethead.programs.control_figures import head_figures, member_figures
 from millethead.programs.dispatcher_figures import dispatcher_figures
+from millethead.scheduling.model import StepKey
 from millethead.web.dispatch import dispatch
 from millethead.web.metrics import (
     CONTENT_TYPE,
@@ -85,6 +87,14 @@
     assert read(head_figures(bench.head))["dispatchers_behind",] == 0
 
 
+def test_a_worker_that_fails_what_it_runs_is_told_apart():
+    bench = Bench()
+    bench.agent(info=worker())
+    for number in range(3):
+        bench.head.scheduler.health.ended((StepKey(f"j{number}", 0, 0), 0, "i-1"), RunEnd.FAILED, 0.0)
+    assert read(head_figures(bench.head))["workers", "alpha", "avoided"] == 1
+
+
 def test_a_worker_without_its_agent_is_told_apart():
     bench = Bench()
     agent = bench.agent(info=worker())
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -792,8 +792,8 @@
         _taken_over(made, f"new{number}", 8, f"w{number}", 0.1)
         for index in range(8):
             _ends_well(made, f"new{number}", index, f"w{number}", 2.1, 2.0)
-    assert {made._health.standing(f"w{number}") for number in range(3)} == {Standing.SOUND}
-    assert {made._health.weight(f"w{number}") for number in range(3)} == {1.0}
+    assert {made.health.standing(f"w{number}") for number in range(3)} == {Standing.SOUND}
+    assert {made.health.weight(f"w{number}") for number in range(3)} == {1.0}
 
 
 def test_ends_that_come_late_do_not_make_a_worker_slow() -> None:
@@ -804,7 +804,7 @@
     for index in range(8):
         _ends_well(made, "j0", index, "w0", 2.0, 2.0)
         _ends_well(made, "j1", index, "w1", 9.0, 2.0 if index % 2 else None)
-    assert made._health.weight("w1") == 1.0
+    assert made.health.weight("w1") == 1.0
 
 
 def test_a_worker_on_which_work_takes_long_is_found_out_by_what_its_agent_measured() -> None:
@@ -815,7 +815,7 @@
         _ends_well(made, "j0", index, "w0", 2.0, 2.0)
     for index in range(12):
         _ends_well(made, "j1", index, "w1", 2.0, 18.0)
-    assert made._health.standing("w1") is Standing.AVOIDED
+    assert made.health.standing("w1") is Standing.AVOIDED
 
 
 def test_a_probe_is_the_way_back_and_pauses_grow() -> None:
@@ -1120,7 +1120,7 @@
 def test_workers_are_not_all_left_out_where_most_of_a_service_is_in_doubt() -> None:
     made = scheduler(worker("i-1"), worker("i-2"))
     for instance in ("i-1", "i-2"):
-        made._health._move(made._health._worker(instance), Standing.AVOIDED, Cause.FAILS, 0.0)
+        made.health._move(made.health._worker(instance), Standing.AVOIDED, Cause.FAILS, 0.0)
     made.put_step(step("job", count=1))
     assert len(made.schedule(1.0).placements) == 1
 
@@ -1129,8 +1129,8 @@
 
 
 def _avoid(made: Scheduler, instance: str) -> None:
-    made._health._move(made._health._worker(instance), Standing.AVOIDED, Cause.FAILS, 0.0)
-    made._health._worker(instance).until = 100.0
+    made.health._move(made.health._worker(instance), Standing.AVOIDED, Cause.FAILS, 0.0)
+    made.health._worker(instance).until = 100.0
 
 
 def test_a_step_goes_to_an_avoided_worker_where_it_would_starve_beside_free_room() -> None:
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -115,7 +115,7 @@
     @invariant()
     def each_host_shows_what_the_whole_says(self) -> None:
         self.made.schedule(self.now)
-        health: Health = self.made._health
+        health: Health = self.made.health
         for pool in self.made._pools.values():
             hosts = list(pool.hosts)
             open_hosts = [host for host in hosts if host.open]
