--- a/millethead/scheduling/looks.py
+++ b/millethead/scheduling/looks.py
@@ -11,10 +11,10 @@
 LONGEST_GAP_S = 1.2  # least time between the answer of a look and the next one, where nothing asks for less
 LASTING_GAP_S = 0.5  # the same beside tasks that last
 SCARCE_GAP_S = 0.2  # where room is scarce
-BACKLOG_GAP_S = 0.1  # where something waits and hardly any room is left: what ends unseen is room lost
+BACKLOG_GAP_S = 0.15  # where something waits and hardly any room is left: what ends unseen is room lost
 SHORTEST_GAP_S = 0.06
 SLACK_SHARE = 0.25  # part of what a job can spare that looks may cost it
-SCARCE_USE, WAITED_FOR_USE = 0.65, 0.4  # part of a service in use from which room is scarce, also if something waits
+SCARCE_USE, WAITED_FOR_USE = 0.85, 0.4  # part of a service in use from which room is scarce, also if something waits
 BACKLOG_USE = 0.85  # part of a service in use from which what waits has to wait for ends
 
 
