--- a/millethead/scheduling/preemption.py
+++ b/millethead/scheduling/preemption.py
@@ -40,10 +40,10 @@
 
 
 def lost_s(run: Run, now: float) -> float:
-    """Seconds of work that a stop of the run throws away."""
+    """Seconds of work that a stop of the run throws away. One that was taken over may be about to end."""
     if run.step.spec.checkpoints:
         return RESTART_S
-    elapsed = max(0.0, now - run.started)
+    elapsed = max(0.0, now - run.started, run.step.spec.estimate_s if run.inherited else 0.0)
     return min(elapsed, LASTING_START_S) if run.step.spec.long_running else elapsed
 
 
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -166,6 +166,7 @@
         known = self._runs.get((key, index, instance))
         if known is None:
             known = self._book(self._step(key), index, instance, now)
+            known.inherited = True
         known.number = run
         known.started = now
         if known.step.tasks.pop(index, None) is not None:
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -52,8 +52,9 @@
 
 @dataclass(slots=True, eq=False)
 class Run:
-    """A booked run of a task. `number` is 0 until it is known. `started`: when this scheduler learnt of it. `ran_s`:
-    how long it ran, once it is over and if its agent saw it from its beginning."""
+    """A booked run of a task. `number` is 0 until it is known. `started`: when this scheduler learnt of it;
+    `inherited`: it had begun before that. `ran_s`: how long it ran, once it is over and if its agent saw it from its
+    beginning."""
 
     step: Step
     index: int
@@ -62,6 +63,7 @@
     started: float
     checkpoint: str = ""
     number: int = 0
+    inherited: bool = False
     ran_s: float | None = None
     stopping: bool = False
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -661,6 +661,21 @@
     assert not decision.preemptions
 
 
+def test_runs_that_a_new_head_has_taken_over_are_not_taken_for_fresh_ones() -> None:
+    """Stopping one that has just begun costs little; these began before the head did."""
+    preempted = []
+    for taken_over in (False, True):
+        made = scheduler(worker("w"), queues=(queue("low", 2), queue("urgent", 0, target_s=0.25)))
+        made.put_step(step("v", 2, HALF, queue="low", estimate_s=12.0, objective_at=60.0))
+        if taken_over:
+            for index in range(2):
+                made.run_started(StepKey("v", 0, 0), index, "w", 1, 0.0)
+        made.schedule(0.0)
+        made.put_step(step("urgent", 1, HALF, queue="urgent", estimate_s=2.0, since=0.1, objective_at=3.0))
+        preempted.append(len(made.schedule(0.1).preemptions))
+    assert preempted == [1, 0]
+
+
 def test_runs_of_a_removed_step_are_not_stopped_again() -> None:
     made = scheduler(worker("w"), queues=HIGH_AND_LOW)
     made.put_step(step("v", 2, HALF, queue="low", estimate_s=12.0, checkpoints=True, objective_at=60.0))
