--- a/tests/test_system_docs.py
+++ b/tests/test_system_docs.py
@@ -25,7 +25,7 @@
     "jobs",
     "scheduling",
 )
-EVENT = re.compile(r'log(?:ger\(\))?\.(?:info|warning|error|exception)\(\s*"([a-z_]+)"[,)]')
+EVENT = re.compile(r'log(?:ger\(\))?\.(?:info|warning|error|critical|exception)\(\s*"([a-z_]+)"[,)]')
 
 
 def section(head):
