--- /dev/null
+++ b/tests/test_core_days.py
@@ -0,0 +1,39 @@
+"""Days of our own with troubles of the core: each is one that the bench can read, and every kind stands alone once."""
+
+from __future__ import annotations
+
+import importlib.util
+import tomllib
+from pathlib import Path
+from types import ModuleType
+
+PATH = Path(__file__).parent.parent / "benchmarks" / "replication" / "core_days.py"
+
+
+def core_days() -> ModuleType:
+    spec = importlib.util.spec_from_file_location("core_days", PATH)
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_days_hold_every_kind_alone_and_then_pairs(tmp_path: Path) -> None:
+    module = core_days()
+    count = len(module.FAULTS) + 10
+    module.make(tmp_path, count, 1)
+    days = [tomllib.loads(file.read_text())["day"][0] for file in sorted(tmp_path.iterdir())]
+    assert len(days) == count == len({day["seed"] for day in days})
+    alone = [day["faults"][0] for day in days if len(day["faults"]) == 1]
+    assert alone == [{"at": module.FIRST_S, **tomllib.loads(f"x = {{{fault}}}")["x"]} for fault in module.FAULTS]
+    assert all(len(day["faults"]) == 2 for day in days[len(module.FAULTS) :])
+    assert {day["closing"]["kind"] for day in days} == {"power_off_all", "wipe_after_ack", "kill_all"}
+
+
+def test_rows_tell_what_was_judged() -> None:
+    module = core_days()
+    line = "core-0                  18/0   0.53  0.900  0.990   0.000  0.000  worst windows 0.88; BROKEN: LOST 3"
+    found = module.LINE.search(line)
+    assert found is not None and found.groupdict() == {"score": "0.53", "worth": "0.900", "served": "0.990"}
+    broken = module.BROKEN.search("rules broken: LOST 3\n")
+    assert broken is not None and broken[1] == "LOST 3"
