--- a/benchmarks/replication/core_days.py
+++ b/benchmarks/replication/core_days.py
@@ -60,7 +60,7 @@
 )
 FIRST_S, SECOND_S = 10.0, 18.0  # from the start of traffic
 CHANGES_S = tuple(float(second) for second in range(6, 30, 2))  # changes of the configuration, for something to lose
-LINE = re.compile(r"(?P<score>-?\d\.\d\d)  (?P<worth>-?\d\.\d{3})  (?P<served>\d\.\d{3})   \d\.\d{3}   \d\.\d{3}  ")
+LINE = re.compile(r"(?P<score>-?\d\.\d\d)\s+(?P<worth>-?\d\.\d{3})\s+(?P<served>\d\.\d{3})\s+\d\.\d{3}\s+\d\.\d{3}\s")
 BROKEN = re.compile(r"rules broken: (.*)")
 
 
