Test of the late share stands alone again, as it was measured

The original comparison is back in the setting in which it was measured; both constants together have a test of their own.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -1375,8 +1375,19 @@
 def test_under_overload_less_work_is_spent_on_jobs_that_will_be_late_all_the_same(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    """The late share alone, as it was measured: with the size of a job counted as without a backlog."""
+    monkeypatch.setattr("millethead.scheduling.state.OVERLOAD_SIZE_DELAY", SIZE_DELAY)
+    standing = _earned_under_overload()
+    monkeypatch.setattr("millethead.scheduling.state.LATE_SHARE", 0.8)  # steps on the verge of being late go first
+    before = _earned_under_overload()
+    assert standing.worth >= before.worth + 0.01
+    assert standing.worst_windows >= before.worst_windows + 0.02
+    assert standing.in_time >= before.in_time + 0.02
+    assert standing.largest_served >= before.largest_served - 0.05
+
+
+def test_late_share_and_size_by_backlog_together_earn_more_under_overload(monkeypatch: pytest.MonkeyPatch) -> None:
     standing = _earned_under_overload()
-    # what stood: steps on the verge of being late went first, and the size of a job counted as without a backlog
     monkeypatch.setattr("millethead.scheduling.state.LATE_SHARE", 0.8)
     monkeypatch.setattr("millethead.scheduling.state.OVERLOAD_SIZE_DELAY", SIZE_DELAY)
     before = _earned_under_overload()
