--- a/tests/test_core_days.py
+++ b/tests/test_core_days.py
@@ -30,6 +30,22 @@
     assert {day["closing"]["kind"] for day in days} == {"power_off_all", "wipe_after_ack", "kill_all"}
 
 
+def test_worst_days_hold_every_combination_and_then_again_with_other_times(tmp_path: Path) -> None:
+    module = core_days()
+    count = len(module.WORST) + 5
+    module.make(tmp_path, count, 1, worst=True)
+    days = [tomllib.loads(file.read_text())["day"][0] for file in sorted(tmp_path.iterdir())]
+    assert len(days) == count == len({day["seed"] for day in days})
+    for number, day in enumerate(days):
+        faults = module.WORST[number % len(module.WORST)]
+        kinds = [tomllib.loads(f"x = {{{fault}}}")["x"]["kind"] for _, fault in faults]
+        assert [fault["kind"] for fault in day["faults"]] == kinds
+    cuts = [fault for day in days for fault in day["faults"] if fault["kind"] == "core_cut"]
+    assert any(cut["for_s"] == 20.0 and "race" in cut["how"] for cut in cuts)
+    again = [fault["at"] for fault in days[len(module.WORST)]["faults"]]
+    assert again != [at for at, _ in module.WORST[0]]
+
+
 def test_rows_tell_what_was_judged() -> None:
     module = core_days()
     line = "core-0                  18/0   0.53  0.900  0.990   0.000  0.000  worst windows 0.88; BROKEN: LOST 3"
