--- a/millethead/configuration/change.py
+++ b/millethead/configuration/change.py
@@ -29,6 +29,7 @@
 from millethead.replication.place import EARLIEST_PLACE, NO_PLACE, LogPlace
 
 MOST_REMEMBERED = 4096  # accepted orders, the newest, that are recognised when they are sent again
+MOST_DOCUMENT_BYTES = 8 << 20  # of the whole configuration; a body is no longer either
 MOST_REFUSED = 1024  # orders, the newest, that were refused though they could have been accepted later
 DIGEST_BYTES = 32
 MAGIC = b"MHC2"  # of an encoded state, with its layout's number
@@ -152,8 +153,10 @@
         if order.method is Method.PUT:
             return Decision(Verdict.ACCEPTED, (), check(raw, above=self.version), order.body)
         merged = merge(self._current_raw(), raw)
-        configuration = check(merged, above=self.version)
-        return Decision(Verdict.ACCEPTED, (), configuration, write_document(merged))
+        configuration, document = check(merged, above=self.version), write_document(merged)
+        if len(document) > MOST_DOCUMENT_BYTES:
+            raise InvalidConfiguration([Finding("", f"the whole would be longer than {MOST_DOCUMENT_BYTES} bytes")])
+        return Decision(Verdict.ACCEPTED, (), configuration, document)
 
     def _current_raw(self) -> JsonObject:
         raw = read_document(self.document) if self.document else {"routes": [], "services": []}
--- a/millethead/control/callers.py
+++ b/millethead/control/callers.py
@@ -19,10 +19,11 @@
 from millethead.control.state import ControlState, order_of
 from millethead.jobs.commands import CancelJob, ChangeConfiguration, QueueTerms, RefuseOrder, SubmitJob
 from millethead.jobs.description import InvalidJob, read_job
-from millethead.jobs.state import Job, Outcome
+from millethead.jobs.state import Job, Outcome, job_bytes
 
 JOB_NAME = re.compile(r"[0-9a-f]{16}")
 MOST_JOBS = 50_000  # kept at once; more are refused until some are forgotten
+MOST_JOB_BYTES = 64 << 20  # that they are counted with, where the machine does not say (`control.admission`)
 BUSY_RETRY_S = 2
 
 Reply = Callable[[Committed[CallAnswer]], None]
@@ -53,8 +54,16 @@
 class Callers:
     """Answers requests against the replicated state."""
 
-    def __init__(self, state: ControlState, gate: CommitGate, events: CallerEvents, wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        state: ControlState,
+        gate: CommitGate,
+        events: CallerEvents,
+        wall_ms: Callable[[], int],
+        most_job_bytes: int = MOST_JOB_BYTES,
+    ) -> None:
         self._state, self._gate, self._events, self._wall_ms = state, gate, events, wall_ms
+        self._most_job_bytes = most_job_bytes
         self._table: RouteTable | None = None
         self._table_of: object = None
 
@@ -114,11 +123,12 @@
             self._confirmed(reply, answer)  # the same job again
             return
         try:
-            read_job(call.body)
+            description = read_job(call.body)
         except InvalidJob as error:
             self._confirmed(reply, _answer(call.number, 400, {"error": "invalid job", "findings": error.findings}))
             return
-        if len(self._state.jobs.jobs) >= MOST_JOBS:
+        held = self._state.jobs.held_bytes + job_bytes(description, call.body)
+        if len(self._state.jobs.jobs) >= MOST_JOBS or held > self._most_job_bytes:
             self._confirmed(reply, _error(call.number, 429, "too many jobs", BUSY_RETRY_S))
             return
         terms = QueueTerms(
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -11,7 +11,7 @@
 import structlog
 
 from millethead.control.agents import LEASE_S, Agents, AgentSession, RunStop
-from millethead.control.callers import CallerEvents, Callers, Reply
+from millethead.control.callers import MOST_JOB_BYTES, CallerEvents, Callers, Reply
 from millethead.control.calls import (
     CallAnswer,
     CallerHello,
@@ -53,6 +53,7 @@
     SavedRun,
     SaveProgress,
     TaskRun,
+    TrimJobs,
     task_run,
 )
 from millethead.jobs.state import Job, Outcome, Task
@@ -66,6 +67,8 @@
 
 LOOK_S = 0.5  # between looks at leases, and at runs that stand still
 PURGE_S = 20.0  # between looks for jobs that may be forgotten
+TRIM_S = 5.0  # between looks for jobs of which only the end has to be kept
+MOST_AT_ONCE = 1000  # jobs in one such command
 KEEP_MORE_S = 60.0  # ended jobs are kept so much longer than they must be: clocks may jump
 
 
@@ -81,6 +84,7 @@
         random: Random,
         status_s: float,
         far_times: float = FAR_TIMES,
+        most_job_bytes: int = MOST_JOB_BYTES,
     ) -> None:
         self.view, self.state, self.clock, self._status_s = view, state, clock, status_s
         self.gate = CommitGate(chain, clock.soon)
@@ -90,9 +94,10 @@
         self.rounds = Rounds(state.jobs, self.gate, self.scheduler, self.agents, self.feeder, clock, self._stop_run)
         self.configurations = ConfigurationStream(view.epoch, state.configuration, self.gate)
         events = CallerEvents(self._job_submitted, self._outcome, self._configured)
-        self._calls = Callers(state, self.gate, events, clock.wall_ms)
+        self._calls = Callers(state, self.gate, events, clock.wall_ms, most_job_bytes)
         self._next_check = clock.now() + LOOK_S
         self._next_purge = clock.now() + PURGE_S
+        self._next_trim = clock.now() + TRIM_S
         self._set_queues(self.configurations.current)
         self.feeder.take_over(self._moment())
         self.rounds.want()
@@ -344,7 +349,11 @@
         if moment.now >= self._next_purge:
             self._next_purge = moment.now + PURGE_S
             self._purge(moment.wall_ms)
-        return min(self.feeder.next_wake(moment), self._next_check, self._next_purge, self.rounds.next_look)
+        if moment.now >= self._next_trim:
+            self._next_trim = moment.now + TRIM_S
+            self._trim()
+        housekeeping = min(self._next_check, self._next_purge, self._next_trim)
+        return min(self.feeder.next_wake(moment), housekeeping, self.rounds.next_look)
 
     def _check_leases(self, now: float) -> None:
         """End what runs at agents whose lease is over."""
@@ -368,7 +377,14 @@
             if job.phase.over and not job.open_runs and job.ended_ms < old
         )
         if names:
-            self.gate.propose(PurgeJobs(names[:1000]))
+            self.gate.propose(PurgeJobs(names[:MOST_AT_ONCE]))
+
+    def _trim(self) -> None:
+        """Have no more kept of jobs that have ended than their end."""
+        jobs = self.state.jobs.jobs.values()
+        names = tuple(job.name for job in jobs if job.phase.over and not job.open_runs and not job.trimmed)
+        if names:
+            self.gate.propose(TrimJobs(names[:MOST_AT_ONCE]))
 
 
 def run_key(run: TaskRun) -> StepKey:
--- a/millethead/control/state.py
+++ b/millethead/control/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from millethead.configuration.change import ConfigurationState, Decision, Method, Order, Verdict
@@ -15,8 +16,10 @@
     RefuseOrder,
     SaveProgress,
     SubmitJob,
+    TrimJobs,
 )
 from millethead.jobs.drained import DrainedNodes
+from millethead.jobs.snapshot import TableEncoder, restore_table
 from millethead.jobs.state import JobTable, Outcome
 from millethead.replication.place import LogPlace
 from millethead.rpc.codec import CodecError, Record, decode, decode_any, encode
@@ -59,6 +62,7 @@
         self.configuration = ConfigurationState()
         self.jobs = JobTable()
         self.drained = DrainedNodes()
+        self._encoder = TableEncoder(self.jobs)
 
     def apply(self, payload: bytes, place: LogPlace) -> Decision | Outcome | None:
         """Take in the command of the entry at `place`; the first entry of an epoch has none."""
@@ -82,6 +86,8 @@
                 return self.jobs.save(command)
             case PurgeJobs():
                 return self.jobs.purge(command)
+            case TrimJobs():
+                return self.jobs.trim(command)
             case RefuseOrder(digest=digest):
                 self.configuration.refuse(digest)
                 return None
@@ -97,13 +103,25 @@
             self.configuration.accept(order, decision, place)
         return decision
 
+    def prepare_snapshot(self) -> bool:
+        """Do a part of the work of `snapshot` ahead; whether so little is left that it holds nobody up."""
+        return self._encoder.prepare()
+
     def snapshot(self) -> bytes:
-        return encode(StateSnapshot(self.configuration.encode(), self.jobs.encode(), self.drained.names()))
+        return encode(StateSnapshot(self.configuration.encode(), self._encoder.encode(), self.drained.names()))
 
     def restore(self, payload: bytes) -> None:
+        """Take the state of a snapshot; empty bytes are the first state."""
+        for _ in self.restoring(payload):
+            pass
+
+    def restoring(self, payload: bytes) -> Iterator[None]:
+        """The same, a part at each step."""
+        self._encoder.give_up()
         self.configuration, self.jobs, self.drained = ConfigurationState(), JobTable(), DrainedNodes()
+        self._encoder = TableEncoder(self.jobs)
         if payload:
             kept = _read_snapshot(payload)
             self.configuration = ConfigurationState.decode(kept.configuration)
-            self.jobs.restore(kept.jobs)
             self.drained = DrainedNodes(kept.drained)
+            yield from restore_table(self.jobs, kept.jobs)
--- a/millethead/jobs/commands.py
+++ b/millethead/jobs/commands.py
@@ -134,6 +134,14 @@
     digest: bytes
 
 
+@tagged(209)
+@dataclass(frozen=True, slots=True)
+class TrimJobs(Record):
+    """Jobs that have ended and run nothing any more: no more is kept of them than their end."""
+
+    jobs: tuple[str, ...]
+
+
 @tagged(206)
 @dataclass(frozen=True, slots=True)
 class PurgeJobs(Record):
--- a/millethead/jobs/description.py
+++ b/millethead/jobs/description.py
@@ -73,7 +73,7 @@
         lengths: list[int] = []
         for step in self.steps:
             lengths.append(1 + max((lengths[number] for number in step.dependencies), default=0))
-        return max(lengths)
+        return max(lengths, default=0)
 
     def longest_chain_ms(self) -> int:
         """The longest chain of steps by estimate."""
@@ -81,7 +81,10 @@
         for step in self.steps:
             start = max((ends[number] for number in step.dependencies), default=0)
             ends.append(start + step.estimate_ms)
-        return max(ends)
+        return max(ends, default=0)
+
+
+NOTHING = JobDescription("", (), 0, 0, 0)  # of a job that has ended, of which only the end is kept
 
 
 class _Reader:
--- a/millethead/jobs/state.py
+++ b/millethead/jobs/state.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -21,9 +21,13 @@
     SaveProgress,
     SubmitJob,
     TaskRun,
+    TrimJobs,
 )
-from millethead.jobs.description import JobDescription, read_job
-from millethead.rpc.codec import U8, U32, U64, Record, decode, encode
+from millethead.jobs.description import NOTHING, JobDescription, read_job
+
+# Bytes of memory that a job is counted with: what was measured, and what the scheduler holds of it while it waits.
+JOB_BYTES, STEP_BYTES, TASK_BYTES = 2048, 1024, 512
+BODY_TIMES = 2  # the body is held as it came, and its spec as a text
 
 
 class JobPhase(IntEnum):
@@ -93,6 +97,16 @@
     def time_count(self) -> int:
         return max(1, self.description.repeats)
 
+    @property
+    def trimmed(self) -> bool:
+        """It has ended, and nothing is kept of it but its end."""
+        return not self.body
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that it is counted with, by what was handed in."""
+        return job_bytes(self.description, self.body)
+
     @property
     def spare_ms(self) -> float:
         """What each time of the job may lose until it is late, if nothing went wrong."""
@@ -145,12 +159,25 @@
     finished_jobs: list[str] = field(default_factory=list)
 
 
+def job_bytes(description: JobDescription, body: bytes) -> int:
+    """Bytes of memory that a job is counted with."""
+    tasks = sum(step.count for step in description.steps)
+    return JOB_BYTES + BODY_TIMES * len(body) + STEP_BYTES * len(description.steps) + TASK_BYTES * tasks
+
+
+def _nobody(name: str) -> None:
+    """Nobody is told which jobs change."""
+
+
 class JobTable:
-    """All jobs. Each command has one method; `find` and `open_runs` read."""
+    """All jobs. Each command has one method; `find` and `open_runs` read. `held_bytes`: what all jobs together are
+    counted with. `changed` is called with the name of each job that a command changes."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.open: dict[tuple[str, int, int, int], TaskRun] = {}
+        self.held_bytes = 0
+        self.changed: Callable[[str], None] = _nobody
 
     # ---- reading -----------------------------------------------------------------------------------------
 
@@ -180,9 +207,15 @@
     def submit(self, command: SubmitJob) -> Outcome:
         if command.job in self.jobs:
             return Outcome(accepted=True)
-        self.jobs[command.job] = Job(command.job, command.terms, read_job(command.body), command.body, command.at_ms)
+        self.add(Job(command.job, command.terms, read_job(command.body), command.body, command.at_ms))
         return Outcome()
 
+    def add(self, job: Job) -> None:
+        """Keep a job that is not kept yet."""
+        self.jobs[job.name] = job
+        self.held_bytes += job.held_bytes
+        self.changed(job.name)
+
     def cancel(self, command: CancelJob) -> Outcome:
         job = self.jobs.get(command.job)
         outcome = Outcome(accepted=job is not None)
@@ -203,6 +236,7 @@
             if job.phase is JobPhase.QUEUED:
                 job.phase = JobPhase.RUNNING
             self.open[run.job, run.time, run.step, run.index] = run
+            self.changed(run.job)
         return Outcome()
 
     def end(self, command: EndRuns) -> Outcome:
@@ -223,6 +257,21 @@
             job = self.jobs.get(name)
             if job is not None and job.phase.over and not job.open_runs:
                 del self.jobs[name]
+                self.held_bytes -= job.held_bytes
+                self.changed(name)
+        return Outcome()
+
+    def trim(self, command: TrimJobs) -> Outcome:
+        """Keep of jobs that have ended no more than their end."""
+        for name in command.jobs:
+            job = self.jobs.get(name)
+            if job is None or not job.phase.over or job.open_runs or job.trimmed:
+                continue
+            self.held_bytes -= job.held_bytes
+            job.body, job.description = b"", NOTHING
+            job.times, job.times_done = {}, set()
+            self.held_bytes += job.held_bytes
+            self.changed(name)
         return Outcome()
 
     # ---- ends --------------------------------------------------------------------------------------------
@@ -232,6 +281,7 @@
         task = self.task(run)
         if task is None or not task.open or task.run != run.run:
             return
+        self.changed(run.job)
         task.open = False
         del self.open[run.job, run.time, run.step, run.index]
         job = self.jobs[run.job]
@@ -246,6 +296,7 @@
 
     def _keep_checkpoint(self, run: TaskRun, task: Task, saved: str, percent: int) -> None:
         task.saved, task.percent = saved, percent
+        self.changed(run.job)
         job = self.jobs[run.job]
         if job.description.steps[run.step].gang:
             step = job.at_time(run.time).steps[run.step]
@@ -287,112 +338,5 @@
     def _end_job(self, job: Job, phase: JobPhase, at_ms: int, outcome: Outcome) -> None:
         """The one place in which a job ends."""
         job.phase, job.ended_ms = phase, at_ms
+        self.changed(job.name)
         outcome.finished_jobs.append(job.name)
-
-    # ---- snapshots ---------------------------------------------------------------------------------------
-
-    def encode(self) -> bytes:
-        return encode(_TableSnapshot(tuple(_job_snapshot(job) for job in self.jobs.values())))
-
-    def restore(self, data: bytes) -> None:
-        self.jobs, self.open = {}, {}
-        for kept in decode(_TableSnapshot, data).jobs:
-            self._restore_job(kept)
-
-    def _restore_job(self, kept: _JobSnapshot) -> None:
-        job = Job(
-            kept.name,
-            kept.terms,
-            read_job(kept.body),
-            kept.body,
-            kept.submitted_ms,
-            kept.phase,
-            kept.ended_ms,
-            times_done=set(kept.times_done),
-        )
-        self.jobs[job.name] = job
-        for time in kept.times:
-            for number, (state, step) in enumerate(zip(job.at_time(time.time).steps, time.steps, strict=True)):
-                state.failed_runs, state.last_failed_run = step.failed_runs, step.last_failed_run
-                state.saved, state.percent = step.saved, step.percent
-                state.tasks = [
-                    Task(
-                        task.run,
-                        task.open,
-                        task.done,
-                        task.failures,
-                        task.saved,
-                        task.percent,
-                        task.node,
-                        task.instance,
-                    )
-                    for task in step.tasks
-                ]
-                state.left = sum(not task.done for task in state.tasks)
-                for index, task in enumerate(state.tasks):
-                    if task.open:
-                        job.open_runs += 1
-                        self.open[job.name, time.time, number, index] = TaskRun(
-                            job.name, time.time, number, index, task.run
-                        )
-
-
-@dataclass(frozen=True, slots=True)
-class _TaskSnapshot(Record):
-    run: U32
-    open: bool
-    done: bool
-    failures: U32
-    saved: str
-    percent: U8
-    node: str
-    instance: str
-
-
-@dataclass(frozen=True, slots=True)
-class _StepSnapshot(Record):
-    failed_runs: U32
-    last_failed_run: U32
-    saved: str
-    percent: U8
-    tasks: tuple[_TaskSnapshot, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class _TimeSnapshot(Record):
-    time: U32
-    steps: tuple[_StepSnapshot, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class _JobSnapshot(Record):
-    name: str
-    terms: QueueTerms
-    body: bytes
-    submitted_ms: U64
-    phase: JobPhase
-    ended_ms: U64
-    times_done: tuple[U32, ...]
-    times: tuple[_TimeSnapshot, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class _TableSnapshot(Record):
-    jobs: tuple[_JobSnapshot, ...]
-
-
-def _job_snapshot(job: Job) -> _JobSnapshot:
-    times = tuple(
-        _TimeSnapshot(number, tuple(_step_snapshot(step) for step in time.steps)) for number, time in job.times.items()
-    )
-    return _JobSnapshot(
-        job.name, job.terms, job.body, job.submitted_ms, job.phase, job.ended_ms, tuple(sorted(job.times_done)), times
-    )
-
-
-def _step_snapshot(step: StepState) -> _StepSnapshot:
-    tasks = tuple(
-        _TaskSnapshot(task.run, task.open, task.done, task.failures, task.saved, task.percent, task.node, task.instance)
-        for task in step.tasks
-    )
-    return _StepSnapshot(step.failed_runs, step.last_failed_run, step.saved, step.percent, tasks)
--- a/millethead/lab/core_mutants.py
+++ b/millethead/lab/core_mutants.py
@@ -53,8 +53,8 @@
 def too_few_disks() -> Iterator[None]:
     """One member of the chain fewer than t + 1 is enough to answer."""
 
-    def settings(least_chain: int) -> ReplicaSettings:
-        return ReplicaSettings(least_chain=least_chain - 1)
+    def settings(least_chain: int, snapshot_part_bytes: int) -> ReplicaSettings:
+        return ReplicaSettings(least_chain=least_chain - 1, snapshot_part_bytes=snapshot_part_bytes)
 
     with mock.patch.object(core_world, "ReplicaSettings", settings):
         yield
--- a/millethead/programs/control.py
+++ b/millethead/programs/control.py
@@ -13,6 +13,7 @@
 import structlog
 
 from millethead.configuration.settings import InvalidSettings, ProcessSettings, load_settings
+from millethead.control.admission import MB, most_job_bytes
 from millethead.control.agents import AgentSession
 from millethead.control.calls import CallerHello, CallerPing, CallerPong, CallerWelcome
 from millethead.control.client import HeadCaller
@@ -34,7 +35,7 @@
 from millethead.replication.view import Member, View
 from millethead.rollout.register import Kept
 from millethead.rpc.codec import CodecError, Record, decode_any, encode_any
-from millethead.rpc.connection import Connection, connect
+from millethead.rpc.connection import Connection, InputBudget, connect
 from millethead.storage.log import Entry, Recovered, Snapshot
 from millethead.web.metrics import Figure
 from millethead.web.server import HttpLimits, HttpServer
@@ -43,8 +44,11 @@
 
 LINK_TIMEOUT_S = 0.4  # to open a link to the successor
 LINK_RETRY_S = 0.05
-HANDOVER_S = 1.5  # time for handing over at SIGTERM
+HANDOVER_SHARE = 0.5  # of grace_s, for handing over at SIGTERM
 OPERATOR_BODY_BYTES = 8 << 20
+# Bytes of the largest frame by who sends it, once its first record has told.
+MEMBER_FRAME, CALLER_FRAME, AGENT_FRAME = 16 << 20, OPERATOR_BODY_BYTES + (64 << 10), 4 << 20
+INPUT_SHARE = 0.125  # of the memory, for frames of all connections that are not whole yet
 
 
 class ControlProgram:
@@ -70,6 +74,7 @@
         # what came on each connection; a hello waits for this member to be the head
         self._sessions: dict[Connection, Caller | AgentSession | CallerHello | AgentHello | None] = {}
         self._links: set[Connection] = set()
+        self._input = InputBudget(int(INPUT_SHARE * settings.limits.memory_mb * MB))
         self._caller = HeadCaller(settings.node, self._caller_seeds, self._random)
         self._http = HttpServer(
             operator_app(self._caller, self._figures), HttpLimits(max_body_bytes=OPERATOR_BODY_BYTES)
@@ -120,7 +125,7 @@
             lambda: DatagramReceiver(self._datagram), local_addr=(host, port)
         )
         self._server = await self._loop.create_server(
-            lambda: Connection(self._received, self._closed, self._opened), host, port, backlog=512
+            lambda: Connection(self._received, self._closed, self._opened, self._input), host, port, backlog=512
         )
         await self._http.listen(*split_address(self._control_address))
         self._caller.start()
@@ -132,10 +137,14 @@
     async def _end(self) -> None:
         """Hand over what this member does, answer what is under way, and end."""
         self._replica.leave(self._loop.time())
-        until = self._loop.time() + min(HANDOVER_S, self._settings.bounds.grace_s / 3)
-        while self._replica.chain.role is not Role.OUTSIDE and self._loop.time() < until:
+        until = self._loop.time() + HANDOVER_SHARE * self._settings.bounds.grace_s
+        while not self._replica.handed_over and self._loop.time() < until:
             await asyncio.sleep(0.02)
-        await self._http.drain(min(2.0, self._settings.bounds.grace_s / 3))
+        if self._replica.handed_over:
+            log.info("handed_over", epoch=self._replica.view.epoch)
+        else:
+            log.warning("not_handed_over", epoch=self._replica.view.epoch, role=self._replica.chain.role.value)
+        await self._http.drain(min(2.0, self._settings.bounds.grace_s / 4))
         self._caller.close()
         if self._server is not None:
             self._server.close()
@@ -223,6 +232,9 @@
         assert self._disk is not None
         self._disk.install(snapshot, durable)
 
+    def soon(self, call: Callable[[], None]) -> None:
+        self._clock.soon(call)
+
     def _save(self, kept: Kept, done: Callable[[], None]) -> None:
         if self._disk is not None:
             self._disk.save(kept, done)
@@ -285,6 +297,7 @@
             self._random,
             self._settings.bounds.status_s,
             self._settings.bounds.far_x,
+            most_job_bytes(self._settings.limits.memory_mb, self._settings.limits.disk_mb),
         )
         self._head_tick = 0.0
         for connection, session in list(self._sessions.items()):
@@ -337,10 +350,12 @@
     def _first_record(self, connection: Connection, record: Record) -> None:
         match record:
             case ChainHello():
+                connection.most_frame = MEMBER_FRAME
                 self._sessions.pop(connection, None)
                 self._links.add(connection)
                 self._link_received(connection, record)
             case CallerHello():
+                connection.most_frame = CALLER_FRAME
                 if self._head is not None:
                     self._sessions[connection] = self._head.caller_hello(connection, record)
                 else:
@@ -352,6 +367,7 @@
                 connection.close()
 
     def _agent_hello(self, connection: Connection, hello: AgentHello) -> None:
+        connection.most_frame = AGENT_FRAME
         if self._head is not None:
             self._sessions[connection] = self._head.agent_hello(connection, hello)
             return
--- a/millethead/programs/disk_maintenance.py
+++ b/millethead/programs/disk_maintenance.py
@@ -14,8 +14,9 @@
 from millethead.storage.scrubber import Scrubber
 
 COMPACT_ENTRIES = 4000  # entries after the snapshot that have the log rewritten
-COMPACT_BYTES = 16 << 20  # bytes of the log file that have it rewritten
+COMPACT_BYTES = 16 << 20  # bytes of the log file beside the snapshot that have it rewritten
 COMPACT_BYTES_ENTRIES = 100  # entries, at least, that a rewrite for its bytes folds into the snapshot
+APART = 0.25  # of these bounds, between a member of the chain and its successor: they do not rewrite at the same time
 PROBE_S = 0.5  # a member outside the chain times a write so often
 
 log = structlog.get_logger()
@@ -64,10 +65,14 @@
         self.scrubber.tick()
 
     def _compact(self) -> None:
-        entries = len(self._chain.log.entries)
-        long = self._disk.size > COMPACT_BYTES and entries > COMPACT_BYTES_ENTRIES
-        if entries > self._compact_entries or long:
-            self._disk.rewrite(self._chain.log.compact())
+        """Rewrite a log that has grown long, once most of its snapshot is prepared. A snapshot on its way to the
+        successor is left as it is: the entries after it are still needed."""
+        log = self._chain.log
+        later = 1 + APART * self._chain.place
+        entries, grown = len(log.entries), self._disk.size - len(log.base.payload)
+        long = grown > COMPACT_BYTES * later and entries > COMPACT_BYTES_ENTRIES
+        if (entries > self._compact_entries * later or long) and not self._chain.copying and log.prepare_compaction():
+            self._disk.rewrite(log.compact())
 
     def _probe(self) -> None:
         now = self._clock()
--- a/millethead/replication/chain.py
+++ b/millethead/replication/chain.py
@@ -10,10 +10,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from enum import Enum
 from typing import Protocol
 
+from millethead.replication.copying import PART_BYTES, IncomingSnapshot, OutgoingSnapshot
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import (
     BarrierAck,
@@ -22,15 +23,17 @@
     ChainBarrier,
     ChainHello,
     ChainPosition,
-    ChainSnapshot,
+    ChainSnapshotAck,
+    ChainSnapshotPart,
     ChainTruncate,
     LogEntry,
+    SnapshotProgress,
 )
 from millethead.replication.view import ChainMember, Member, View
 from millethead.rpc.codec import Record
 from millethead.storage.log import Entry, Snapshot
 
-COPY_BATCH = 256  # entries in one record while a log is copied
+COPY_BATCH, COPY_BYTES = 256, 1 << 20  # entries and bytes in one record, about, while a log is copied
 
 
 class Link(Protocol):
@@ -50,6 +53,10 @@
 
     def install(self, snapshot: Snapshot, durable: Callable[[], None]) -> None: ...
 
+    def soon(self, call: Callable[[], None]) -> None:
+        """Call `call` in a later turn of the loop."""
+        ...
+
     def open_link(self, address: str) -> None:
         """Open a link to the successor; ends in `Chain.link_opened` or `Chain.link_lost(None)`."""
         ...
@@ -77,13 +84,16 @@
 class Chain:
     """This member's place in the chain of the view that it has adopted."""
 
-    def __init__(self, me: Member, incarnation: int, log: ReplicatedLog, ports: ChainPorts) -> None:
+    def __init__(
+        self, me: Member, incarnation: int, log: ReplicatedLog, ports: ChainPorts, part_bytes: int = PART_BYTES
+    ) -> None:
         self.me, self.incarnation, self.log, self._ports = me, incarnation, log, ports
         self.role = Role.OUTSIDE
         self.epoch = 0
         self.durable = log.last[1]
         self.committed = 0
         self.barrier = self.barrier_passed = 0
+        self.place = 0  # in the chain, from 0 for the head
         self._successor: ChainMember | None = None
         self._predecessor: ChainMember | None = None
         self._up: Link | None = None
@@ -92,6 +102,9 @@
         self._down_acked = 0
         self._view = View(0, (), ())
         self._generation = 0
+        self._part_bytes = part_bytes
+        self._outgoing: OutgoingSnapshot | None = None  # under way to the successor
+        self._incoming: IncomingSnapshot | None = None  # not yet whole
 
     # ---- the view ----------------------------------------------------------------------------------------
 
@@ -111,6 +124,7 @@
         if at is None:
             self._become(Role.OUTSIDE)
             return
+        self.place = at
         self._predecessor = view.chain[at - 1] if at else None
         self._successor = view.chain[at + 1] if at + 1 < len(view.chain) else None
         self._become(Role.WAITING if at else Role.HEAD)
@@ -126,6 +140,7 @@
         up, down = self._up, self._down
         self._up = self._down = None
         self._down_synced, self._down_acked = False, 0
+        self._outgoing = None
         for link in (up, down):
             if link is not None:
                 link.close()
@@ -139,11 +154,17 @@
         """Whether the successor is reconciled, or there is none."""
         return self._successor is None or self._down_synced
 
+    @property
+    def copying(self) -> bool:
+        """The snapshot is on its way to the successor: it and the entries after it are still needed."""
+        return self._outgoing is not None
+
     # ---- the head ----------------------------------------------------------------------------------------
 
     def propose(self, payload: bytes) -> tuple[int, object]:
         """At the head: append a command; returns its sequence, and the result that holds once it is committed."""
         assert self.role is Role.HEAD
+        self.log.settle()
         entry = Entry(self.epoch, self.log.last[1] + 1, payload)
         result = self.log.append(entry)
         self._store((entry,))
@@ -211,7 +232,7 @@
         if link is self._up:
             self._up = None
         elif link is self._down:
-            self._down, self._down_synced = None, False
+            self._down, self._down_synced, self._outgoing = None, False, None
             return self.role in (Role.HEAD, Role.FOLLOWING)
         return False
 
@@ -229,7 +250,8 @@
             stale, self._up = self._up, None
             stale.close()
         self._up = link
-        link.send(ChainPosition(self.epoch, self.log.base_span(), self.log.spans()))
+        partial = self._incoming.progress if self._incoming is not None else None
+        link.send(ChainPosition(self.epoch, self.log.base_span(), self.log.spans(), partial))
         return True
 
     def from_above(self, link: Link, record: Record) -> None:
@@ -239,8 +261,8 @@
         match record:
             case ChainTruncate(epoch=epoch, sequence=sequence) if epoch == self.epoch:
                 self._truncate(sequence)
-            case ChainSnapshot(epoch=epoch) if epoch == self.epoch:
-                self._install(record)
+            case ChainSnapshotPart(epoch=epoch) if epoch == self.epoch:
+                self._take_part(link, record)
             case ChainAppend(epoch=epoch, entries=entries) if epoch == self.epoch:
                 self._take(entries)
             case ChainBarrier(epoch=epoch, number=number) if epoch == self.epoch:
@@ -255,15 +277,37 @@
         shorter = sequence < self.log.last[1]
         if shorter:
             self.log.truncate(sequence)
+            self._rebuild(self.log)
             self._ports.truncate(sequence)
             self._generation += 1
             # what was synced and kept stays so; entries whose sync is under way are reported by the sync that follows
             self.durable = min(self.durable, sequence)
         self._reconciled(shorter)
 
-    def _install(self, record: ChainSnapshot) -> None:
-        snapshot = Snapshot(record.entry_epoch, record.sequence, record.payload)
+    def _rebuild(self, log: ReplicatedLog) -> None:
+        """Work the state out in steps, between which heartbeats and entries are taken."""
+        if log.rebuilding and not log.rebuild():
+            self._ports.soon(lambda: self._rebuild(log))
+
+    def _take_part(self, link: Link, part: ChainSnapshotPart) -> None:
+        if self._incoming is None or self._incoming.name != part.name:
+            self._incoming = IncomingSnapshot(part.name)
+        incoming = self._incoming
+        incoming.take(part)
+        if not incoming.complete:
+            link.send(ChainSnapshotAck(self.epoch, incoming.progress))
+            return
+        self._incoming = None
+        snapshot = incoming.snapshot()
+        if snapshot is None:  # damaged on its way: it is asked for anew
+            link.close()
+            self.link_lost(link)
+            return
+        self._install(snapshot)
+
+    def _install(self, snapshot: Snapshot) -> None:
         self.log.install(snapshot)
+        self._rebuild(self.log)
         self._generation += 1
         generation = self._generation
         self.durable = 0
@@ -282,7 +326,7 @@
             self._become(Role.FOLLOWING)
             self._ports.synced_to_head()
         elif changed and self._down is not None:  # what was passed on is void as well
-            down, self._down, self._down_synced = self._down, None, False
+            down, self._down, self._down_synced, self._outgoing = self._down, None, False, None
             down.close()
             assert self._successor is not None
             self._ports.open_link(self._successor.member.address)
@@ -326,6 +370,8 @@
         match record:
             case ChainPosition(epoch=epoch) if epoch == self.epoch:
                 self._reconcile(record)
+            case ChainSnapshotAck(epoch=epoch, progress=progress) if epoch == self.epoch:
+                self._copy_further(progress)
             case ChainAck(epoch=epoch, sequence=sequence) if epoch == self.epoch:
                 self._down_acked = max(self._down_acked, sequence)
                 self._acknowledge()
@@ -337,17 +383,43 @@
         assert self._down is not None
         link, point = self._down, self.log.common_point(position.base, position.spans)
         if point is None:
-            epoch, sequence = self.log.last
-            link.send(ChainSnapshot(self.epoch, epoch, sequence, self.log.machine.snapshot()))
-        else:
-            link.send(ChainTruncate(self.epoch, point))
-            missing = self.log.after(point)
-            for at in range(0, len(missing), COPY_BATCH):
-                link.send(ChainAppend(self.epoch, _wire(missing[at : at + COPY_BATCH])))
+            self._outgoing = OutgoingSnapshot(self.epoch, self.log.base, position.partial, link.send, self._part_bytes)
+            self._copy_further(None)
+            return
+        link.send(ChainTruncate(self.epoch, point))
+        self._send_after(link, point)
+
+    def _copy_further(self, progress: SnapshotProgress | None) -> None:
+        """The successor has taken parts of the snapshot; the entries follow the last one."""
+        outgoing, link = self._outgoing, self._down
+        if outgoing is None or link is None:
+            return
+        if progress is not None:
+            outgoing.acknowledged(progress)
+        if outgoing.sent:
+            self._outgoing = None
+            self._send_after(link, outgoing.snapshot.sequence)
+
+    def _send_after(self, link: Link, point: int) -> None:
+        """Send all entries above `point`; from then on the successor gets each as it comes."""
+        for batch in _batches(self.log.after(point)):
+            link.send(ChainAppend(self.epoch, _wire(batch)))
         self._down_synced = True
         if self.barrier > self.barrier_passed:  # it was lost with an earlier link
             link.send(ChainBarrier(self.epoch, self.barrier))
 
 
+def _batches(entries: Sequence[Entry]) -> Iterator[Sequence[Entry]]:
+    """Entries by the record, each of at most COPY_BATCH, and no more once it has COPY_BYTES."""
+    first = size = 0
+    for at, entry in enumerate(entries):
+        if at - first == COPY_BATCH or size >= COPY_BYTES:
+            yield entries[first:at]
+            first, size = at, 0
+        size += len(entry.payload)
+    if first < len(entries):
+        yield entries[first:]
+
+
 def _wire(entries: Sequence[Entry]) -> tuple[LogEntry, ...]:
     return tuple(LogEntry(entry.epoch, entry.sequence, entry.payload) for entry in entries)
--- a/millethead/replication/messages.py
+++ b/millethead/replication/messages.py
@@ -21,7 +21,8 @@
 @dataclass(frozen=True, slots=True)
 class Heartbeat(Record):
     """Sent to every known member. `disk_ms`: the longest sync lately, or how long one is pending; `leaving`: its
-    process has been asked to end."""
+    process has been asked to end; `serving`: it is the head of `epoch`, and all that was committed before is on every
+    disk of that epoch's chain."""
 
     sender: Member
     incarnation: U64
@@ -30,6 +31,7 @@
     leaving: bool
     bootstrapping: bool
     observer: bool
+    serving: bool
     heard: tuple[Heard, ...]
 
 
@@ -89,14 +91,40 @@
     sender: Member
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotName(Record):
+    """Which snapshot: the last entry that it covers, its bytes, their checksum (CRC-32), and the bytes of a part."""
+
+    entry_epoch: U64
+    sequence: U64
+    size: U64
+    check: U32
+    part_size: U32
+
+    @property
+    def part_count(self) -> int:
+        """In how many parts it goes; an empty one is one empty part."""
+        return max(1, -(-self.size // max(1, self.part_size)))
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotProgress(Record):
+    """How many parts of a snapshot a member has taken."""
+
+    name: SnapshotName
+    parts: U32
+
+
 @tagged(11)
 @dataclass(frozen=True, slots=True)
 class ChainPosition(Record):
-    """The successor's log: what its snapshot covers, and the epochs of the entries after it."""
+    """The successor's log: what its snapshot covers, and the epochs of the entries after it. `partial`: a snapshot
+    that it has taken a part of before its link was lost."""
 
     epoch: U64
     base: EpochSpan
     spans: tuple[EpochSpan, ...]
+    partial: SnapshotProgress | None = None
 
 
 @tagged(12)
@@ -108,17 +136,26 @@
     sequence: U64
 
 
-@tagged(13)
+@tagged(18)
 @dataclass(frozen=True, slots=True)
-class ChainSnapshot(Record):
-    """Replaces the successor's whole log: the state after entry (`entry_epoch`, `sequence`)."""
+class ChainSnapshotPart(Record):
+    """Part `number`, from 0, of a snapshot that replaces the successor's whole log once all of it is there."""
 
     epoch: U64
-    entry_epoch: U64
-    sequence: U64
+    name: SnapshotName
+    number: U32
     payload: bytes
 
 
+@tagged(19)
+@dataclass(frozen=True, slots=True)
+class ChainSnapshotAck(Record):
+    """The successor has so many parts of a snapshot."""
+
+    epoch: U64
+    progress: SnapshotProgress
+
+
 @tagged(14)
 @dataclass(frozen=True, slots=True)
 class ChainAppend(Record):
--- a/millethead/replication/planning.py
+++ b/millethead/replication/planning.py
@@ -49,6 +49,12 @@
     return joined >= view.majority()
 
 
+def majority_without(now: float, view: View, member: Member, liveness: Liveness) -> bool:
+    """Whether the voters that this member (`member`) hears, and that hear it, are a majority without it."""
+    others = sum(voter != member and _is_there(now, voter, liveness) for voter in view.voters)
+    return member not in view.voters or others >= view.majority()
+
+
 def _is_there(now: float, member: Member, liveness: Liveness) -> bool:
     identity = liveness.identity(member.address)
     return identity is not None and identity[0] == member and liveness.joined_both_ways(now, member.address)
@@ -98,26 +104,31 @@
 
 
 def _candidates(now: float, view: View, me: Myself, liveness: Liveness) -> list[Heartbeat]:
-    """Who could stand behind this member in a chain: first those of the present chain, in its order."""
+    """Who could stand behind this member in a chain: first those of the present chain, in its order. A member of the
+    chain that leaves stays until enough others hold all that was committed."""
     beats = {
         address: contact.heartbeat
         for address, contact in liveness.contacts().items()
-        if contact.heartbeat.sender.disk
-        and address != me.member.address
-        and not contact.heartbeat.leaving
-        and liveness.joined_both_ways(now, address)
+        if contact.heartbeat.sender.disk and address != me.member.address and liveness.joined_both_ways(now, address)
     }
     order: list[Heartbeat] = []
     restarted: list[Heartbeat] = []
+    leaving: list[Heartbeat] = []
     for place in view.chain:
         beat = beats.get(place.member.address)
         if beat is not None and beat.sender == place.member:
             del beats[place.member.address]
-            (order if beat.incarnation == place.incarnation else restarted).append(beat)
+            steady = beat.incarnation == place.incarnation
+            if beat.leaving:
+                leaving += [beat] if steady else []
+            else:
+                (order if steady else restarted).append(beat)
+    if len(order) + (not me.leaving) < me.least_chain or not me.serving:
+        order += leaving  # what they hold is not on enough other disks yet
     fresh = [
         beat
         for address, beat in sorted(beats.items())
-        if beat.sender in view.voters and now - liveness.contacts()[address].since >= SETTLED_S
+        if beat.sender in view.voters and not beat.leaving and now - liveness.contacts()[address].since >= SETTLED_S
     ]
     return order + restarted + fresh
 
@@ -140,6 +151,8 @@
     places = tuple(ChainMember(beat.sender, beat.incarnation, 0) for beat in chosen)
     if not _can_hand_over(view, me, chosen):
         return (mine, *places)
+    if me.leaving and _copies(view, chosen) < me.least_chain <= len(chosen):
+        return (mine, *places)  # those that join first copy what this member holds
     if me.leaving or (me.disk_ms > SLOW_DISK_MS and len(chosen) >= me.least_chain):
         return places
     return (mine, *places)
@@ -153,6 +166,12 @@
     return any(place.member == first.sender and place.incarnation == first.incarnation for place in view.chain)
 
 
+def _copies(view: View, chosen: list[Heartbeat]) -> int:
+    """How many of those chosen were in the chain that serves: they hold all that was committed."""
+    steady = {(place.member, place.incarnation) for place in view.chain}
+    return sum((beat.sender, beat.incarnation) in steady for beat in chosen)
+
+
 def wanted_voters(now: float, view: View, me: Myself, liveness: Liveness) -> tuple[Member, ...]:
     """The voters of the next view: one more or one less than now at most."""
     voters = view.voters
@@ -190,8 +209,8 @@
         return None
     chain = wanted_chain(now, view, me, liveness)
     voters = wanted_voters(now, view, me, liveness)
-    if len(chain) < me.least_chain and len(view.chain) >= me.least_chain and not me.leaving:
-        return None  # a shorter chain could acknowledge nothing: wait for the members to come back
+    if len(chain) < me.least_chain <= len(view.chain) and not me.leaving:
+        return _more_voters(view, voters)
     same = [(place.member, place.incarnation) for place in chain] == [
         (place.member, place.incarnation) for place in view.chain
     ]
@@ -201,6 +220,13 @@
     return next_view(view, chain, voters)
 
 
+def _more_voters(view: View, voters: tuple[Member, ...]) -> View | None:
+    """A shorter chain could acknowledge nothing, so the present one waits for its members to come back. Meanwhile
+    voters may come, which can then take a place in it."""
+    kept = all(place.member in voters for place in view.chain)
+    return next_view(view, view.chain, voters) if kept and voters != view.voters else None
+
+
 def rank(now: float, view: View, me: Myself, liveness: Liveness) -> int | None:
     """How many others of the chain come before this member in proposing itself as head: those whose process is still
     the one of the view come first, then the restarted ones, each in the chain's order. None: it may not lead."""
--- a/millethead/replication/replica.py
+++ b/millethead/replication/replica.py
@@ -13,6 +13,7 @@
 
 from millethead.replication.agreement import AgreementPorts, ViewRegister
 from millethead.replication.chain import Chain, ChainPorts, Link, Role
+from millethead.replication.copying import PART_BYTES
 from millethead.replication.liveness import Liveness
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import (
@@ -20,6 +21,7 @@
     ChainAck,
     ChainHello,
     ChainPosition,
+    ChainSnapshotAck,
     Heartbeat,
     PaxosMessage,
     ViewAnnouncement,
@@ -29,6 +31,7 @@
     RESTART_WAIT_S,
     Myself,
     head_is_well,
+    majority_without,
     plan_as_head,
     plan_as_successor,
     rank,
@@ -48,6 +51,7 @@
     observer_period_s: float = 0.5
     suspect_s: float = 0.45
     least_chain: int = 2
+    snapshot_part_bytes: int = PART_BYTES
 
 
 class ReplicaPorts(Protocol):
@@ -101,7 +105,7 @@
     ) -> None:
         self.me, self.incarnation, self.settings, self._ports = me, incarnation, settings, ports
         self.liveness = Liveness(me.address, settings.suspect_s)
-        self.chain = Chain(me, incarnation, log, chain_ports)
+        self.chain = Chain(me, incarnation, log, chain_ports, settings.snapshot_part_bytes)
         self.register = ViewRegister(me, incarnation, _Register(self, save), kept, random, self._agreed)
         self.view = NO_VIEW
         self.leaving = False
@@ -110,6 +114,7 @@
         self._started = now
         self._now = now
         self._epoch_start = 0
+        self._settled_epoch = 0  # the newest of which this member knows that its head serves
         self._serving = False
         self._head_ill_since: float | None = None
         self._next_beat = now
@@ -184,9 +189,28 @@
             self.leaving,
             self.bootstrapping,
             self.me.disk == 0,
+            self._serving,
             self.liveness.report(now),
         )
 
+    @property
+    def handed_over(self) -> bool:
+        """Whether this member is needed no more. Not for its copy: the head of a view without it serves, with enough
+        disks that hold all that was committed (that such a view was agreed says nothing of what its chain has copied).
+        And not for its vote: a majority of the voters is there without it."""
+        if not self.me.disk:
+            return True
+        copied = self.chain.role is Role.OUTSIDE and self._settled_epoch == self.view.epoch
+        return copied and majority_without(self._now, self.view, self.me, self.liveness)
+
+    def _note_settled(self, beat: Heartbeat) -> None:
+        """The head of the view that is in place may serve."""
+        head = self.view.head
+        if head is None or (head.member, head.incarnation) != (beat.sender, beat.incarnation):
+            return
+        if beat.serving and beat.epoch == self.view.epoch:
+            self._settled_epoch = beat.epoch
+
     def leave(self, now: float) -> None:
         """The process has been asked to end: hand over what this member does."""
         self._now = now
@@ -219,6 +243,7 @@
         if address == self.me.address:
             return
         news = self.liveness.heard(now, beat)
+        self._note_settled(beat)
         if beat.epoch < self.view.epoch:
             self.send_datagram(address, ViewAnnouncement(self.view))
         if news:
@@ -260,6 +285,7 @@
             and len(self.view.chain) >= self.settings.least_chain
         ):
             self._serving = True
+            self._next_beat = self._now  # a member that leaves waits for it
             self._ports.serving(self.view.epoch)
 
     def _plan(self, now: float) -> None:
@@ -338,7 +364,7 @@
             case ChainHello(view=view):
                 self.adopt(view)
                 return self.chain.hello(link, record)
-            case ChainPosition() | ChainAck() | BarrierAck():
+            case ChainPosition() | ChainSnapshotAck() | ChainAck() | BarrierAck():
                 self.chain.from_below(link, record)
             case _:
                 self.chain.from_above(link, record)
--- a/millethead/rpc/codec.py
+++ b/millethead/rpc/codec.py
@@ -82,6 +82,12 @@
     return typing.cast(R, value)
 
 
+def decode_at(cls: type[R], data: bytes, at: int) -> tuple[R, int]:
+    """The record that `data` holds from `at` on, and where it ends; raises CodecError."""
+    value, end = _read(_codec(cls)[1], data, at)
+    return typing.cast(R, value), end
+
+
 def decode_any(data: bytes) -> Record:
     """The tagged record that `data` holds, whole; raises CodecError."""
     if len(data) < _TAG.size:
--- a/millethead/rpc/connection.py
+++ b/millethead/rpc/connection.py
@@ -18,23 +18,45 @@
 
 log = structlog.get_logger()
 
-MOST_FRAME = 48 << 20  # bytes of one frame
+STRANGER_FRAME = 16 << 10  # bytes of the first frame of whoever connects
+MOST_FRAME = 48 << 20  # bytes of one frame of a peer that was connected to
+MOST_HELD = 64 << 20  # bytes of frames that are not whole yet, of all connections of a server together
+HELLO_S = 10.0  # a peer that has said nothing by then is dropped
 MOST_QUEUED = 64 << 20  # bytes that wait to be written to one peer
 USER_TIMEOUT_MS = 4000  # unacknowledged bytes end a connection after this time
 KEEPALIVE_S, KEEPALIVE_PROBES = 2, 2  # an idle connection is probed, so that an end that is gone is found out
 _FRAME = struct.Struct(">I")
 
 
+class InputBudget:
+    """Bytes of frames that are not whole yet, which all connections of a server may hold together."""
+
+    def __init__(self, most: int = MOST_HELD) -> None:
+        self.most, self.held = most, 0
+
+    def change(self, more: int) -> bool:
+        """Hold so many bytes more, or fewer; whether that is within the bound."""
+        self.held += more
+        return more <= 0 or self.held <= self.most
+
+
 class Connection(asyncio.Protocol):
-    """One end of a framed connection; `received` and `closed` are called on the loop."""
+    """One end of a framed connection; `received` and `closed` are called on the loop. `most_frame`: bytes of the
+    largest frame that is taken; whoever receives raises it once the peer is known. `budget`: shared by the connections
+    of a server, whose peers are strangers at first."""
 
     def __init__(
         self,
         received: Callable[[Connection, Record], None],
         closed: Callable[[Connection], None],
         opened: Callable[[Connection], None] | None = None,
+        budget: InputBudget | None = None,
     ) -> None:
         self._received, self._closed, self._opened = received, closed, opened
+        self.most_frame = MOST_FRAME if budget is None else STRANGER_FRAME
+        self._budget, self._held = budget or InputBudget(), 0
+        self._hello_due: asyncio.TimerHandle | None = None
+        self._strange = budget is not None
         self._transport: asyncio.Transport | None = None
         self._input = bytearray()
         self._output: list[bytes] = []
@@ -56,15 +78,32 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        if self._strange:
+            self._hello_due = asyncio.get_running_loop().call_later(HELLO_S, self._drop, "no_hello")
         if self._opened is not None:
             self._opened(self)
 
     def data_received(self, data: bytes) -> None:
         self._input += data
+        self._take_frames()
+        if self._transport is not None and not self._hold(len(self._input)):
+            self._drop("too_much_unfinished_input")
+
+    def _hold(self, size: int) -> bool:
+        more, self._held = size - self._held, size
+        return self._budget.change(more)
+
+    def _known(self) -> None:
+        """The peer has sent a record."""
+        if self._hello_due is not None:
+            self._hello_due.cancel()
+            self._hello_due = None
+
+    def _take_frames(self) -> None:
         at, size = 0, len(self._input)
         while size - at >= _FRAME.size:
             length = _FRAME.unpack_from(self._input, at)[0]
-            if length > MOST_FRAME:
+            if length > self.most_frame:
                 self._drop("frame_too_large")
                 return
             if size - at - _FRAME.size < length:
@@ -76,6 +115,7 @@
             except CodecError as error:
                 self._drop(str(error))
                 return
+            self._known()
             self._received(self, record)
             if self._transport is None:
                 return
@@ -84,8 +124,15 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self._transport is not None:
             self._transport = None
+            self._let_go()
             self._closed(self)
 
+    def _let_go(self) -> None:
+        """Nothing more is received."""
+        self._known()
+        self._input.clear()
+        self._hold(0)
+
     def _drop(self, cause: str) -> None:
         log.warning("connection_dropped", peer=self.peer, cause=cause)
         self.close()
@@ -125,6 +172,7 @@
                 transport.write(b"".join(self._output))
                 self._output.clear()
             transport.close()
+            self._let_go()
             self._closed(self)
 
 
--- a/millethead/storage/log.py
+++ b/millethead/storage/log.py
@@ -24,7 +24,7 @@
     Snapshot,
     Tail,
     entries_bodies,
-    snapshot_body,
+    snapshot_records,
     truncation_body,
 )
 from millethead.storage.replay import CHUNK, Cursor, Extent, SequenceError, replay
@@ -124,7 +124,8 @@
 
     def install(self, snapshot: Snapshot) -> None:
         """Once synced, the snapshot is in place of everything before; raises OSError."""
-        self._write([(Kind.SNAPSHOT, snapshot_body(snapshot))])
+        for record in snapshot_records(snapshot):
+            self._write([record])
         self._extent.restart(snapshot.sequence)
 
     def sync(self) -> None:
@@ -225,7 +226,7 @@
 
 
 def _records(snapshot: Snapshot, entries: Sequence[Entry]) -> Iterator[tuple[Kind, bytes]]:
-    yield Kind.SNAPSHOT, snapshot_body(snapshot)
+    yield from snapshot_records(snapshot)
     for body in entries_bodies(entries):
         yield Kind.ENTRIES, body
 
--- a/millethead/storage/records.py
+++ b/millethead/storage/records.py
@@ -25,7 +25,11 @@
 _ENTRY = struct.Struct(">QI")  # epoch, length
 _SNAPSHOT = struct.Struct(">QQ")  # epoch, sequence
 _TRUNCATE = struct.Struct(">Q")  # sequence
-MAX_PAYLOAD = MAX_BODY - _ENTRIES.size - _ENTRY.size  # bytes of one entry or snapshot
+MAX_PAYLOAD = MAX_BODY - _ENTRIES.size - _ENTRY.size  # bytes of one entry
+MAX_SNAPSHOT = 1 << 30  # bytes of one snapshot
+PART_BYTES = 256 << 10  # of a snapshot in one record
+_PART = struct.Struct(">I")  # number, from 0
+_SNAPSHOT_END = struct.Struct(">QQIQI")  # epoch, sequence, number of parts, bytes and checksum of the whole
 NUMBERS = 1 << 63  # epochs and sequences are below
 
 
@@ -33,33 +37,54 @@
     """What was once durable cannot be read: this disk is not believed."""
 
 
-def _check_limits(epoch: int, sequence: int, payload: bytes) -> None:
+def _check_limits(epoch: int, sequence: int, size: int, most: int) -> None:
     if not (0 <= epoch < NUMBERS and 0 <= sequence < NUMBERS):
         raise ValueError(f"epoch {epoch}, sequence {sequence}: not from 0 to 2**63 - 1")
-    if len(payload) > MAX_PAYLOAD:
-        raise ValueError(f"a payload of {len(payload)} bytes, {MAX_PAYLOAD} at most")
+    if size > most:
+        raise ValueError(f"a payload of {size} bytes, {most} at most")
 
 
 @dataclass(frozen=True, slots=True)
-class _Numbered:
-    """Raises ValueError for a payload over MAX_PAYLOAD or a number that has no room."""
+class Entry:
+    """One replicated command. Raises ValueError for a payload over MAX_PAYLOAD or a number that has no room."""
 
     epoch: int
     sequence: int
     payload: bytes
 
     def __post_init__(self) -> None:
-        _check_limits(self.epoch, self.sequence, self.payload)
+        _check_limits(self.epoch, self.sequence, len(self.payload), MAX_PAYLOAD)
 
 
 @dataclass(frozen=True, slots=True)
-class Entry(_Numbered):
-    """One replicated command."""
+class Snapshot:
+    """The whole state after entry (epoch, sequence). Raises ValueError for one over MAX_SNAPSHOT, and as `Entry`."""
+
+    epoch: int
+    sequence: int
+    payload: bytes
+
+    def __post_init__(self) -> None:
+        _check_limits(self.epoch, self.sequence, len(self.payload), MAX_SNAPSHOT)
 
 
 @dataclass(frozen=True, slots=True)
-class Snapshot(_Numbered):
-    """The whole state after entry (epoch, sequence)."""
+class SnapshotPart:
+    """Bytes of a snapshot, of which more follow."""
+
+    number: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotEnd:
+    """All parts of a snapshot come before; only with this record it is one."""
+
+    epoch: int
+    sequence: int
+    parts: int
+    size: int
+    check: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +94,7 @@
     sequence: int
 
 
-Content = Snapshot | Truncation | Sequence[Entry]
+Content = Snapshot | SnapshotPart | SnapshotEnd | Truncation | Sequence[Entry]
 
 
 class Kind(enum.IntEnum):
@@ -78,7 +103,9 @@
     FILE = 1  # nothing: the first record of each file
     ENTRIES = 2
     TRUNCATION = 3
-    SNAPSHOT = 4
+    SNAPSHOT = 4  # whole in one record, as it was written before there were parts
+    SNAPSHOT_PART = 5
+    SNAPSHOT_END = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,9 +157,22 @@
     return Header(kind, generation, offset, synced, previous, length, body_check, check)
 
 
-def snapshot_body(snapshot: Snapshot) -> bytes:
-    """The body of a record of kind SNAPSHOT."""
-    return _SNAPSHOT.pack(snapshot.epoch, snapshot.sequence) + snapshot.payload
+def snapshot_records(snapshot: Snapshot) -> Iterator[tuple[Kind, bytes]]:
+    """The records that hold a snapshot, by kind and body: its parts, then its end."""
+    payload = snapshot.payload
+    parts = range(0, max(1, len(payload)), PART_BYTES)  # an empty one has a part too, which voids what was cut short
+    for number, at in enumerate(parts):
+        yield Kind.SNAPSHOT_PART, _PART.pack(number) + payload[at : at + PART_BYTES]
+    end = _SNAPSHOT_END.pack(snapshot.epoch, snapshot.sequence, len(parts), len(payload), zlib.crc32(payload))
+    yield Kind.SNAPSHOT_END, end
+
+
+def join_parts(end: SnapshotEnd, parts: Sequence[bytes]) -> Snapshot:
+    """The snapshot of which all parts are there; raises CorruptLog where they are not what the end says."""
+    payload = b"".join(parts)
+    if len(parts) != end.parts or len(payload) != end.size or zlib.crc32(payload) != end.check:
+        raise CorruptLog(f"the parts of the snapshot at {end.sequence} are not whole")
+    return Snapshot(end.epoch, end.sequence, payload)
 
 
 def truncation_body(sequence: int) -> bytes:
@@ -170,6 +210,11 @@
                 return _read_entries(body)
             case Kind.TRUNCATION:
                 return Truncation(*_TRUNCATE.unpack(body))
+            case Kind.SNAPSHOT_PART:
+                (number,) = _PART.unpack_from(body)
+                return SnapshotPart(number, body[_PART.size :])
+            case Kind.SNAPSHOT_END:
+                return SnapshotEnd(*_SNAPSHOT_END.unpack(body))
             case Kind.SNAPSHOT:
                 epoch, sequence = _SNAPSHOT.unpack_from(body)
                 return Snapshot(epoch, sequence, body[_SNAPSHOT.size :])
--- a/millethead/storage/replay.py
+++ b/millethead/storage/replay.py
@@ -15,8 +15,11 @@
     Header,
     Kind,
     Snapshot,
+    SnapshotEnd,
+    SnapshotPart,
     Tail,
     Truncation,
+    join_parts,
     read_body,
     read_header,
 )
@@ -76,15 +79,20 @@
     extent: Extent = field(default_factory=Extent)
     snapshot: Snapshot | None = None
     entries: list[Entry] = field(default_factory=list)
+    parts: list[bytes] = field(default_factory=list)  # of a snapshot whose end has not come yet
 
     def apply(self, kind: int, body: bytes) -> None:
         """Take the next record in; raises CorruptLog where it cannot follow on those before."""
         content = read_body(kind, body)
         try:
             match content:
+                case SnapshotPart():
+                    self._take_part(content)
+                    return
+                case SnapshotEnd():
+                    self._take_snapshot(join_parts(content, self.parts))
                 case Snapshot():
-                    self.extent.restart(content.sequence)
-                    self.snapshot, self.entries = content, []
+                    self._take_snapshot(content)
                 case Truncation():
                     self.extent.truncate(content.sequence)
                     self._drop_above(content.sequence)
@@ -93,6 +101,18 @@
                     self.entries.extend(content)
         except SequenceError as error:
             raise CorruptLog(str(error)) from None
+        self.parts = []  # what is not followed by the end was cut short, and is void
+
+    def _take_part(self, part: SnapshotPart) -> None:
+        if part.number == 0:
+            self.parts = []
+        if part.number != len(self.parts):
+            raise CorruptLog(f"part {part.number} of a snapshot follows {len(self.parts)} parts")
+        self.parts.append(part.payload)
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        self.extent.restart(snapshot.sequence)
+        self.snapshot, self.entries = snapshot, []
 
     def _drop_above(self, sequence: int) -> None:
         if self.entries:
