Calls to the head and their answers name the epoch of the head

Cause: a call was sent again to the next head under the same number, and whichever answer came first was taken: the refusal of an earlier head could reach the client while the later head took the job (REFUSED). Bytes of a call that lay in a socket could be carried out by the same member as head of a later epoch, after another head had refused it.

Change: HeadCall and HeadAnswer carry the epoch; a head passes over calls of other epochs, a caller takes only the answer of the head that it sent the call to last. housekeeping is split from head.py.

--- a/millethead/control/calls.py
+++ b/millethead/control/calls.py
@@ -120,3 +120,22 @@
     status: U16
     body: bytes
     retry_after_s: U32
+
+
+@tagged(126)
+@dataclass(frozen=True, slots=True)
+class HeadCall(Record):
+    """A call (with its tag) for the head of one epoch. A head of another epoch, even at the same member, passes it
+    over: the caller sends it again to whoever it takes for the head by then, and may have been told of its end."""
+
+    epoch: U64
+    call: bytes
+
+
+@tagged(127)
+@dataclass(frozen=True, slots=True)
+class HeadAnswer(Record):
+    """The answer that the head of an epoch gives to a call that came to it in that epoch."""
+
+    epoch: U64
+    answer: CallAnswer
--- a/millethead/control/client.py
+++ b/millethead/control/client.py
@@ -20,6 +20,8 @@
     CallerPing,
     CallerWelcome,
     ConfigurationUpdate,
+    HeadAnswer,
+    HeadCall,
 )
 from millethead.control.configuration_stream import HeldConfiguration
 from millethead.replication.view import NO_VIEW, View
@@ -46,9 +48,12 @@
 
 @dataclass(slots=True)
 class _Call:
+    """`epoch`: of the head to which it was sent last; only that head's answer is taken."""
+
     data: bytes
     answer: asyncio.Future[CallAnswer]
     sent: bool = False
+    epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -126,8 +131,8 @@
 
     def _send(self, call: _Call) -> None:
         if self._head is not None and self._head.connection is not None:
-            call.sent = True
-            self._head.connection.send_encoded(call.data)
+            call.sent, call.epoch = True, self.view.epoch
+            self._head.connection.send(HeadCall(call.epoch, call.data))
 
     # ---- members -----------------------------------------------------------------------------------------
 
@@ -227,10 +232,10 @@
         match record:
             case CallerWelcome(view=view, serving=serving):
                 self._welcome(member, view, serving)
-            case CallAnswer(number=number):
-                call = self._calls.get(number)
-                if call is not None and not call.answer.done():
-                    call.answer.set_result(record)
+            case HeadAnswer(epoch=epoch, answer=answer):
+                call = self._calls.get(answer.number)
+                if call is not None and call.epoch == epoch and not call.answer.done():
+                    call.answer.set_result(answer)
             case ConfigurationUpdate():
                 self._update(member, record)
 
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -21,6 +21,8 @@
     ConfigurationAck,
     ConfigurationCall,
     DrainCall,
+    HeadAnswer,
+    HeadCall,
     InspectCall,
     JobCall,
 )
@@ -28,6 +30,7 @@
 from millethead.control.configuration_stream import Caller, ConfigurationStream, StoredConfiguration
 from millethead.control.drains import OK, Leaving, drain_answer, runs_to_move
 from millethead.control.feeder import Clock, Feeder
+from millethead.control.housekeeping import PURGE_S, TRIM_S, purge_command, trim_command
 from millethead.control.inspect import inspect
 from millethead.control.rounds import HeadClock, Rounds, moment_of
 from millethead.control.state import ControlState
@@ -49,16 +52,14 @@
     DrainNode,
     EndedRun,
     EndRuns,
-    PurgeJobs,
     SavedRun,
     SaveProgress,
     TaskRun,
-    TrimJobs,
     task_run,
 )
 from millethead.jobs.state import Job, Outcome, Task
 from millethead.replication.view import View
-from millethead.rpc.codec import Record
+from millethead.rpc.codec import CodecError, Record, decode_any
 from millethead.scheduling.choosing import FAR_TIMES
 from millethead.scheduling.model import StepKey
 from millethead.scheduling.scheduler import Scheduler
@@ -66,10 +67,6 @@
 log = structlog.get_logger()
 
 LOOK_S = 0.5  # between looks at leases, and at runs that stand still
-PURGE_S = 20.0  # between looks for jobs that may be forgotten
-TRIM_S = 5.0  # between looks for jobs of which only the end has to be kept
-MOST_AT_ONCE = 1000  # jobs in one such command
-KEEP_MORE_S = 60.0  # ended jobs are kept so much longer than they must be: clocks may jump
 
 
 class Head:
@@ -120,20 +117,33 @@
     def caller_record(self, caller: Caller, record: Record) -> None:
         """A record of a caller."""
         match record:
-            case JobCall():
-                self._calls.job(record, caller.link.send)
-            case ConfigurationCall():
-                self._calls.configuration(record, caller.link.send)
-            case InspectCall(number=number, what=what):
-                self.gate.confirm(CallAnswer(number, 200, inspect(self, what), 0), caller.link.send)
-            case DrainCall():
-                self._drain(record, caller.link.send)
+            case HeadCall(epoch=epoch, call=data):
+                if epoch == self.view.epoch:
+                    self.call(caller, decode_any(data))
             case ConfigurationAck():
                 self.configurations.acknowledged(caller, record)
             case CallerPing(epoch=epoch, serving=serving):
                 current = epoch == self.view.epoch and serving
                 caller.link.send(of_view(CallerPong() if current else CallerWelcome(self.view, True)))
 
+    def call(self, caller: Caller, record: Record) -> None:
+        """A call that was sent to the head of this epoch; raises CodecError for what is none."""
+
+        def reply(released: Committed[CallAnswer]) -> None:
+            caller.link.send(released.derive(lambda answer: HeadAnswer(self.view.epoch, answer)))
+
+        match record:
+            case JobCall():
+                self._calls.job(record, reply)
+            case ConfigurationCall():
+                self._calls.configuration(record, reply)
+            case InspectCall(number=number, what=what):
+                self.gate.confirm(CallAnswer(number, 200, inspect(self, what), 0), reply)
+            case DrainCall():
+                self._drain(record, reply)
+            case _:
+                raise CodecError(f"{type(record).__name__} is no call")
+
     def caller_gone(self, caller: Caller) -> None:
         self.configurations.leave(caller)
 
@@ -348,10 +358,10 @@
             self.rounds.want()
         if moment.now >= self._next_purge:
             self._next_purge = moment.now + PURGE_S
-            self._purge(moment.wall_ms)
+            self._propose(purge_command(self.state.jobs.jobs.values(), moment.wall_ms, self._status_s))
         if moment.now >= self._next_trim:
             self._next_trim = moment.now + TRIM_S
-            self._trim()
+            self._propose(trim_command(self.state.jobs.jobs.values()))
         housekeeping = min(self._next_check, self._next_purge, self._next_trim)
         return min(self.feeder.next_wake(moment), housekeeping, self.rounds.next_look)
 
@@ -369,22 +379,9 @@
             self.agents.end_session(node)
             self._end(tuple(EndedRun(run, RunEnd.LOST, "") for run, _ in runs_at[node]))
 
-    def _purge(self, wall_ms: int) -> None:
-        old = wall_ms - int((self._status_s + KEEP_MORE_S) * 1000)
-        names = tuple(
-            job.name
-            for job in self.state.jobs.jobs.values()
-            if job.phase.over and not job.open_runs and job.ended_ms < old
-        )
-        if names:
-            self.gate.propose(PurgeJobs(names[:MOST_AT_ONCE]))
-
-    def _trim(self) -> None:
-        """Have no more kept of jobs that have ended than their end."""
-        jobs = self.state.jobs.jobs.values()
-        names = tuple(job.name for job in jobs if job.phase.over and not job.open_runs and not job.trimmed)
-        if names:
-            self.gate.propose(TrimJobs(names[:MOST_AT_ONCE]))
+    def _propose(self, command: Record | None) -> None:
+        if command is not None:
+            self.gate.propose(command)
 
 
 def run_key(run: TaskRun) -> StepKey:
--- a/millethead/lab/system_clients.py
+++ b/millethead/lab/system_clients.py
@@ -18,13 +18,15 @@
     CallerWelcome,
     ConfigurationCall,
     ConfigurationUpdate,
+    HeadAnswer,
+    HeadCall,
     JobCall,
 )
 from millethead.control.configuration_stream import HeldConfiguration
 from millethead.lab.core_time import Timeline
 from millethead.lab.system_jobs import JobPlan
 from millethead.lab.system_wire import Wire
-from millethead.rpc.codec import Record
+from millethead.rpc.codec import Record, encode_any
 
 REACH_S, ANSWER_S, OPERATOR_ANSWER_S = 1.3, 2.4, 1.0  # as the dispatcher's program and the operator have them
 CLIENT_DELAY_S = (0.003, 0.006)
@@ -41,6 +43,7 @@
     make: Callable[[int], Record]
     done: Done
     sent: bool = False
+    epoch: int = 0  # of the head to which it was sent last
 
 
 class Dispatcher:
@@ -78,8 +81,8 @@
 
     def _send(self, number: int, call: _Call) -> None:
         if self._serving and self._wire is not None:
-            call.sent = True
-            self._wire.near.send(call.make(number))
+            call.sent, call.epoch = True, self._epoch
+            self._wire.near.send(HeadCall(call.epoch, encode_any(call.make(number))))
 
     def _give_up(self, number: int, unsent_only: bool) -> None:
         call = self._calls.get(number)
@@ -113,6 +116,12 @@
             wire.near.close()
             self._lost(wire)
 
+    def _answered(self, epoch: int, answer: CallAnswer) -> None:
+        call = self._calls.get(answer.number)
+        if call is not None and call.epoch == epoch:
+            del self._calls[answer.number]
+            call.done(answer.status, answer.body)
+
     def _received(self, wire: Wire, record: Record) -> None:
         if wire is not self._wire:
             return
@@ -122,9 +131,8 @@
                 self._epoch = max(self._epoch, view.epoch)
                 for number, call in list(self._calls.items()):
                     self._send(number, call)
-            case CallAnswer(number=number, status=status, body=body):
-                if number in self._calls:
-                    self._calls.pop(number).done(status, body)
+            case HeadAnswer(epoch=epoch, answer=answer):
+                self._answered(epoch, answer)
             case ConfigurationUpdate():
                 self._told(record)
                 self.held.take(record, self._epoch)
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -11,7 +11,7 @@
 from typer.testing import CliRunner
 
 from millethead.__main__ import SYSTEM_COMMANDS
-from millethead.control.calls import CallerHello, ConfigurationAck, ConfigurationCall, InspectCall, JobCall
+from millethead.control.calls import CallerHello, ConfigurationAck, ConfigurationCall, HeadAnswer, InspectCall, JobCall
 from millethead.control.head import Head
 from millethead.control.inspect import STATUS, inspect
 from millethead.control.state import ControlState
@@ -93,7 +93,7 @@
         self.sent = []
 
     def send(self, record):
-        self.sent.append(record)
+        self.sent.append(record.answer if isinstance(record, HeadAnswer) else record)
 
     def close(self):
         pass
@@ -109,7 +109,7 @@
         self.clock.after = lambda: self.head.gate.barrier_passed(self.chain.barrier)
         self.link = Link()
         self.caller = self.head.caller_hello(self.link, CallerHello("dispatcher-1", 0, 0, NO_PLACE, True))
-        self.head.caller_record(self.caller, ConfigurationCall(1, "PUT", 0, json.dumps(configuration(3)).encode()))
+        self.head.call(self.caller, ConfigurationCall(1, "PUT", 0, json.dumps(configuration(3)).encode()))
         self.head.caller_record(self.caller, ConfigurationAck(3, self.state.configuration.place))
 
     def add_worker(self, node="side-1"):
@@ -134,7 +134,7 @@
 
     def submit(self, name, *steps):
         body = json.dumps({"spec": "s", "steps": steps}).encode()
-        self.head.caller_record(self.caller, JobCall(2, "POST", HOST, PREFIX + name, body))
+        self.head.call(self.caller, JobCall(2, "POST", HOST, PREFIX + name, body))
         self.clock.run()
 
     def end(self, name, index, how):
@@ -213,7 +213,7 @@
 
 def test_jobs_of_many_times_are_not_brought_into_being_by_looking(core):
     body = {"spec": "", "repeats": 5, "delay_ms": WALL_MS + 60_000, "interval_ms": 1000, "steps": [ONE]}
-    core.head.caller_record(core.caller, JobCall(2, "POST", HOST, PREFIX + JOB_A, json.dumps(body).encode()))
+    core.head.call(core.caller, JobCall(2, "POST", HOST, PREFIX + JOB_A, json.dumps(body).encode()))
     core.clock.run()
     assert "times          0 of 5 done, the next due at 2023-11-14T22:14:20Z" in run("jobs", "show", JOB_A, *AT).stdout
     assert core.state.jobs.jobs[JOB_A].times == {}
@@ -226,7 +226,7 @@
 
 def test_the_head_answers_an_inspection(core):
     core.link.sent.clear()
-    core.head.caller_record(core.caller, InspectCall(9, STATUS))
+    core.head.call(core.caller, InspectCall(9, STATUS))
     core.clock.run()
     core.head.gate.barrier_passed(1)
     answer = core.link.sent[-1]
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -16,6 +16,7 @@
 from millethead.jobs import drained
 from millethead.jobs.commands import DrainNode
 from millethead.jobs.drained import DrainedNodes
+from millethead.jobs.snapshot import encode_table
 from millethead.programs.command_line import ExitCode
 from millethead.programs.core_client import CoreClient
 from millethead.rpc.codec import encode
@@ -23,7 +24,7 @@
 
 def drain(bench: Bench, node: str, out: bool = True, number: int = 500) -> CallAnswer | None:
     """The answer, if there is one by now."""
-    bench.head.caller_record(bench.caller, DrainCall(number, node, out))
+    bench.head.call(bench.caller, DrainCall(number, node, out))
     return bench.answers().get(number)
 
 
@@ -104,7 +105,7 @@
     again = later.agent(info=worker("i-9"))
     later.pass_time(2.0)
     assert again.orders() == []
-    later.head.caller_record(later.caller, DrainCall(501, "n-1", False))
+    later.head.call(later.caller, DrainCall(501, "n-1", False))
     later.settle()
     assert again.orders() == [f"{task(0)}#1"]
 
@@ -144,7 +145,7 @@
 def test_a_snapshot_of_the_first_form_is_read():
     bench = Bench()
     bench.ask("POST", NAME, job())
-    first = FirstStateSnapshot(bench.state.configuration.encode(), bench.state.jobs.encode())
+    first = FirstStateSnapshot(bench.state.configuration.encode(), encode_table(bench.state.jobs))
     copy = ControlState()
     copy.restore(encode(first))
     assert copy.snapshot() == bench.state.snapshot()
@@ -159,7 +160,7 @@
     """Calls of the command line reach the head in this process."""
 
     def call(client, make, clear=(200,)):
-        core.head.caller_record(core.caller, make(900))
+        core.head.call(core.caller, make(900))
         core.clock.run()
         core.head.gate.committed(core.chain.committed)
         answer = next(record for record in reversed(core.link.sent) if isinstance(record, CallAnswer))
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -19,13 +19,16 @@
     ConfigurationAck,
     ConfigurationCall,
     ConfigurationUpdate,
+    HeadAnswer,
+    HeadCall,
     InspectCall,
     JobCall,
 )
 from millethead.control.commit import CommitGate, Committed
 from millethead.control.configuration_stream import Caller
 from millethead.control.feeder import Clock, Feeder
-from millethead.control.head import KEEP_MORE_S, PURGE_S, Head
+from millethead.control.head import Head
+from millethead.control.housekeeping import KEEP_MORE_S, PURGE_S
 from millethead.control.rounds import ROUND_GAP_S
 from millethead.control.state import ControlState
 from millethead.execution.messages import (
@@ -50,7 +53,7 @@
 from millethead.jobs.state import JobPhase
 from millethead.replication.place import NO_PLACE, LogPlace
 from millethead.replication.view import View
-from millethead.rpc.codec import Record, decode_any
+from millethead.rpc.codec import Record, decode_any, encode_any
 from millethead.scheduling.model import StepKey
 from millethead.scheduling.scheduler import Scheduler
 
@@ -117,7 +120,7 @@
 
     def send(self, record: Record) -> None:
         assert not self.closed
-        self.sent.append(record)
+        self.sent.append(record.answer if isinstance(record, HeadAnswer) else record)
 
     def close(self) -> None:
         self.closed = True
@@ -220,7 +223,7 @@
 
     def call(self, method: str, name: str = NAME, body: bytes = b"", path: str = "/slow/") -> int:
         self._number += 1
-        self.head.caller_record(self.caller, JobCall(self._number, method, "jobs.example", path + name, body))
+        self.head.call(self.caller, JobCall(self._number, method, "jobs.example", path + name, body))
         return self._number
 
     def answers(self) -> dict[int, CallAnswer]:
@@ -234,7 +237,7 @@
 
     def configure(self, body: bytes, if_match: int | None = 0, method: str = "PUT") -> int:
         self._number += 1
-        self.head.caller_record(self.caller, ConfigurationCall(self._number, method, if_match, body))
+        self.head.call(self.caller, ConfigurationCall(self._number, method, if_match, body))
         number = self._number
         self.settle()
         return self.answers()[number].status
@@ -407,10 +410,32 @@
     assert [update.version for update in bench.link.take(ConfigurationUpdate)] == [4]
 
 
+def test_call_that_was_sent_to_the_head_of_another_epoch_is_passed_over() -> None:
+    """It may have lain in the socket while another head answered it otherwise; only a call of this epoch counts."""
+    bench = Bench(epoch=6)
+    post = JobCall(70, "POST", "jobs.example", f"/slow/{NAME}", job())
+    for epoch in (5, 7):
+        bench.head.caller_record(bench.caller, HeadCall(epoch, encode_any(post)))
+        bench.settle()
+    assert not bench.answers() and not bench.state.jobs.jobs
+    bench.head.caller_record(bench.caller, HeadCall(6, encode_any(post)))
+    bench.settle()
+    assert bench.answers()[70].status == 200
+
+
+def test_answer_names_the_epoch_of_the_head_that_gives_it() -> None:
+    bench = Bench(epoch=6)
+    sent: list[Record] = []
+    bench.caller.link.link.send = sent.append  # type: ignore[attr-defined]
+    bench.call("GET")
+    bench.settle()
+    assert [(answer.epoch, answer.answer.status) for answer in sent if isinstance(answer, HeadAnswer)] == [(6, 410)]
+
+
 def test_caller_that_comes_is_never_told_what_is_not_committed() -> None:
     """The barrier has passed, and the entry of version 2 is applied and not committed: it may never be."""
     bench = Bench()
-    bench.head.caller_record(bench.caller, ConfigurationCall(77, "PUT", 1, document(2)))
+    bench.head.call(bench.caller, ConfigurationCall(77, "PUT", 1, document(2)))
     link = FakeLink()
     bench.head.caller_hello(link, CallerHello("d2", 0, 0, NO_PLACE, True))
     bench.clock.run()
@@ -425,8 +450,8 @@
     bench = Bench()
     bench.link.take(ConfigurationUpdate)
     first = len(bench.chain.log) + 1
-    bench.head.caller_record(bench.caller, ConfigurationCall(77, "PUT", 1, document(2)))
-    bench.head.caller_record(bench.caller, ConfigurationCall(78, "PUT", 2, document(3)))
+    bench.head.call(bench.caller, ConfigurationCall(77, "PUT", 1, document(2)))
+    bench.head.call(bench.caller, ConfigurationCall(78, "PUT", 2, document(3)))
     assert len(bench.chain.log) == first + 1
     for sequence, version in ((first, 2), (first + 1, 3)):
         bench.chain.committed = sequence
@@ -494,7 +519,7 @@
 def test_configuration_is_told_after_its_commit_only() -> None:
     bench = Bench()
     bench.link.take(ConfigurationUpdate)
-    bench.head.caller_record(bench.caller, ConfigurationCall(77, "PUT", 1, document(2)))
+    bench.head.call(bench.caller, ConfigurationCall(77, "PUT", 1, document(2)))
     bench.clock.run()
     assert not bench.answers() and not bench.link.take(ConfigurationUpdate)
     bench.settle()
@@ -503,7 +528,7 @@
 
 def test_answers_to_the_operator() -> None:
     bench = Bench(configured=False)
-    bench.head.caller_record(bench.caller, ConfigurationCall(1, "GET", None, b""))
+    bench.head.call(bench.caller, ConfigurationCall(1, "GET", None, b""))
     bench.settle()
     assert bench.answers()[1].status == 404
     assert bench.configure(b"{", 0) == 400
@@ -514,7 +539,7 @@
     patch = json.dumps({"version": 5, "delete": {"routes": ["slow"]}}).encode()
     assert bench.configure(patch, 1, "PATCH") == 200
     assert bench.configure(document(1)) == 200, "an accepted order stays so"
-    bench.head.caller_record(bench.caller, ConfigurationCall(99, "GET", None, b""))
+    bench.head.call(bench.caller, ConfigurationCall(99, "GET", None, b""))
     bench.settle()
     answer = bench.answers()[99]
     assert answer.status == 200 and json.loads(answer.body)["version"] == 5
@@ -599,7 +624,7 @@
 def test_inspection_is_answered() -> None:
     bench = Bench()
     bench.agent()
-    bench.head.caller_record(bench.caller, InspectCall(5, "status"))
+    bench.head.call(bench.caller, InspectCall(5, "status"))
     bench.settle()
     assert bench.answers()[5].status == 200
 
--- a/tests/test_large_state.py
+++ b/tests/test_large_state.py
@@ -11,7 +11,7 @@
 from test_replication import HEAD, MIDDLE, TAIL, VIEW, Link, Machine, Ports, Standing
 
 from millethead.control.admission import LEAST_BYTES, MB, most_job_bytes
-from millethead.control.head import PURGE_S, TRIM_S
+from millethead.control.housekeeping import PURGE_S, TRIM_S
 from millethead.control.state import ControlState
 from millethead.execution.messages import RunEnd
 from millethead.jobs import snapshot as snapshots
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -76,7 +76,7 @@
     bench.agent("n-2", worker("i-2"))
     bench.ask("POST", NAME, job({"count": 3}))
     bench.settle()
-    bench.head.caller_record(bench.caller, DrainCall(500, "n-2", True))
+    bench.head.call(bench.caller, DrainCall(500, "n-2", True))
     bench.settle()
     page = read(head_figures(bench.head))
     assert page["is_head",] == 1 and page["open_runs",] == 3 and page["uncommitted_entries",] == 0
