--- a/millethead/control/commit.py
+++ b/millethead/control/commit.py
@@ -56,29 +56,37 @@
     def close(self) -> None: ...
 
 
+class ChainHead(Protocol):
+    """What the chain offers to its head."""
+
+    committed: int
+
+    def propose(self, payload: bytes) -> tuple[int, object]: ...
+
+    def send_barrier(self) -> int: ...
+
+
+class UncommittedRelease(AssertionError):
+    """A record was to leave the head that rests on an entry which is not committed."""
+
+
 @dataclass(frozen=True, slots=True)
 class CommittedLink:
-    """The one way by which records leave the head: only what is committed passes."""
+    """The one way by which records leave the head: only what is committed passes, which is looked at once more here;
+    the member ends (UncommittedRelease) sooner than it tells of anything else."""
 
     link: HeadLink
+    chain: ChainHead
 
     def send(self, record: Committed[R]) -> None:
+        if record.sequence > self.chain.committed:
+            raise UncommittedRelease(f"entry {record.sequence}, and {self.chain.committed} is committed")
         self.link.send(record.value)
 
     def close(self) -> None:
         self.link.close()
 
 
-class ChainHead(Protocol):
-    """What the chain offers to its head."""
-
-    committed: int
-
-    def propose(self, payload: bytes) -> tuple[int, object]: ...
-
-    def send_barrier(self) -> int: ...
-
-
 Release = Callable[[], None]
 _Read = tuple[int, Release]  # the last entry that it may have seen, and what then
 
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -84,6 +84,7 @@
         most_job_bytes: int = MOST_JOB_BYTES,
     ) -> None:
         self.view, self.state, self.clock, self._status_s = view, state, clock, status_s
+        self._chain = chain
         self.gate = CommitGate(chain, clock.soon)
         self.scheduler = Scheduler(random, far_times)
         self.agents = Agents(state.jobs, clock.now(), state.drained)
@@ -110,7 +111,7 @@
 
     def caller_hello(self, link: HeadLink, hello: CallerHello) -> Caller:
         """A program has come that calls for clients or the operator."""
-        outlet = CommittedLink(link)
+        outlet = CommittedLink(link, self._chain)
         outlet.send(of_view(CallerWelcome(self.view, True)))
         return self.configurations.join(outlet, hello)
 
@@ -187,7 +188,7 @@
 
     def agent_hello(self, link: HeadLink, hello: AgentHello) -> AgentSession:
         """An agent has come. What is wanted in lives that it may have forgotten is told first."""
-        session = AgentSession(hello, CommittedLink(link))
+        session = AgentSession(hello, CommittedLink(link, self._chain))
         self.agents.connected(session)
         self.gate.confirm_newest(lambda: self._wanted_at(session), lambda wanted: self._welcome(session, wanted))
         return session
--- a/tests/test_committed.py
+++ b/tests/test_committed.py
@@ -8,7 +8,8 @@
 import pytest
 
 import millethead
-from millethead.control.calls import ConfigurationUpdate
+from millethead.control.calls import CallerPong, ConfigurationUpdate
+from millethead.control.commit import Committed, CommittedLink, UncommittedRelease
 from millethead.control.configuration_stream import HeldConfiguration
 from millethead.lab.streamed import StreamedConfigurations, UncommittedConfiguration
 from millethead.replication.place import NO_PLACE, LogPlace
@@ -48,6 +49,25 @@
     return ConfigurationUpdate(epoch, place, version, b"{}", discard)
 
 
+def test_a_link_passes_nothing_that_is_not_committed() -> None:
+    class Sink:
+        """Keeps what is sent."""
+
+        def __init__(self) -> None:
+            self.sent: list[object] = []
+            self.committed = 4
+
+        def send(self, record: object) -> None:
+            self.sent.append(record)
+
+    sink = Sink()
+    link = CommittedLink(sink, sink)  # type: ignore[arg-type]
+    link.send(Committed(CallerPong(), 4))
+    with pytest.raises(UncommittedRelease):
+        link.send(Committed(CallerPong(), 5))
+    assert sink.sent == [CallerPong()]
+
+
 def test_follower_goes_by_the_place_and_not_by_the_number() -> None:
     held = HeldConfiguration()
     assert held.take(update(2, LogPlace(2, 7), 5), 2)
