Log: of each late job where its time went

The head keeps for each step when its tasks waited and ran, and logs job_late with the parts of the time of the last task of each step on the longest path; what passed under an earlier head is unseen.

--- a/millethead/control/feeder.py
+++ b/millethead/control/feeder.py
@@ -9,7 +9,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+import structlog
+
 from millethead.configuration.model import Configuration
+from millethead.control.job_times import JobTimes, LateJob
 from millethead.execution.messages import RunEnd
 from millethead.jobs.commands import Assignment, EndedRun, TaskRun
 from millethead.jobs.state import Job, JobTable, Outcome, Task
@@ -24,6 +27,8 @@
 from millethead.scheduling.placement import cores
 from millethead.scheduling.scheduler import Scheduler
 
+log = structlog.get_logger()
+
 RESTART_PAUSE_S = (0.2, 2.0)  # first and longest pause before a lasting task that failed at once is started again
 REJECT_PAUSE_S = (0.05, 1.0)  # the same for a task that a worker rejected
 STEADY_RUN_S = 5.0  # a lasting task that ran for so long begins with the first pause again
@@ -59,6 +64,7 @@
         self._pauses: dict[tuple[StepKey, int], _Pause] = {}
         self._failed_on: dict[tuple[StepKey, int], frozenset[str]] = {}
         self._steps: set[StepKey] = set()
+        self._times = JobTimes()
 
     # ---- start -------------------------------------------------------------------------------------------
 
@@ -108,6 +114,7 @@
         if key in self._steps:
             return
         self._steps.add(key)
+        self._times.step_ready(key, clock.now)
         description = job.description.steps[key.step]
         state = job.at_time(key.time).steps[key.step]
         start_ms = job.description.due_ms(key.time) or job.submitted_ms
@@ -169,16 +176,33 @@
             run = assignment.run
             key = StepKey(run.job, run.time, run.step)
             self._scheduler.run_started(key, run.index, assignment.instance, run.run, clock.now)
+            self._times.run_assigned(key, run.index, self._is_far(key, assignment.instance), clock.now)
             pause = self._pauses.get((key, run.index))
             if pause is not None:
                 pause.started = clock.now
 
+    def _is_far(self, key: StepKey, instance: str) -> bool:
+        """Whether a worker stands in another rack than the data of a step."""
+        rack = self._jobs.jobs[key.job].description.steps[key.step].affinity
+        worker = self._scheduler.worker(instance)
+        return bool(rack) and worker is not None and worker.rack != rack
+
+    def run_lasted(self, run: TaskRun, instance: str, seconds: float) -> None:
+        """How long a run ran, as its agent saw it; its end follows."""
+        key = StepKey(run.job, run.time, run.step)
+        self._scheduler.run_lasted(key, run.index, instance, run.run, seconds)
+        self._times.run_lasted(key, run.index, seconds)
+
     def runs_closed(self, outcome: Outcome, clock: Clock) -> None:
         """Runs have ended, with whatever follows from that."""
         for closed in outcome.closed:
             self._closed(closed.ended, closed.instance, clock)
         for done in outcome.finished_steps:
-            self._step_finished(self._jobs.jobs[done.job], StepKey(done.job, done.time, done.step), clock)
+            job, key = self._jobs.jobs[done.job], StepKey(done.job, done.time, done.step)
+            self._times.step_done(job, key, clock.now)
+            if job.at_time(done.time).done:
+                self._time_over(job, done.time, clock)
+            self._step_finished(job, key, clock)
         for name in outcome.finished_jobs:
             self.job_over(self._jobs.jobs[name])
 
@@ -187,6 +211,8 @@
         key = StepKey(run.job, run.time, run.step)
         self._scheduler.run_ended(key, run.index, instance, run.run, ended.how, clock.now)
         job = self._jobs.jobs[run.job]
+        estimate_s = job.description.steps[run.step].estimate_ms / 1000
+        self._times.run_ended(key, run.index, ended.how, estimate_s, clock.now)
         task = self._jobs.task(run)
         if task is None or task.done or job.phase.over:
             self._forget_task(key, run.index)
@@ -234,6 +260,13 @@
         self._pauses.pop((key, index), None)
         self._failed_on.pop((key, index), None)
 
+    def _time_over(self, job: Job, time: int, clock: Clock) -> None:
+        """All steps of a job are done at one time K: it is logged where its time went, if it was late."""
+        began_ms = job.description.due_ms(time) or job.submitted_ms
+        late = self._times.time_over(job, time, (clock.wall_ms - began_ms) / 1000)
+        if late is not None:
+            log.info("job_late", job=job.name, time=time, queue=job.terms.route, **_in_ms(late))
+
     def _step_finished(self, job: Job, key: StepKey, clock: Clock) -> None:
         self._remove(key)
         if not job.phase.over:
@@ -242,6 +275,7 @@
     def job_over(self, job: Job) -> None:
         """A job has ended: nothing of it waits any more, and what still runs is stopped."""
         for time, state in job.times.items():
+            self._times.forget(job.name, time, len(state.steps))
             for number, step in enumerate(state.steps):
                 key = StepKey(job.name, time, number)
                 self._remove(key)
@@ -285,6 +319,23 @@
         return min(due, rest)
 
 
+def _in_ms(late: LateJob) -> dict[str, int]:
+    """The parts of a late job's time as fields of the log."""
+    spent = late.spent
+    seconds = {
+        "total_ms": late.total_s,
+        "objective_ms": late.objective_s,
+        "unseen_ms": late.unseen_s,
+        "waited_ms": spent.waited_s,
+        "repeated_ms": spent.repeated_s,
+        "ran_ms": spent.ran_s,
+        "turnover_ms": spent.turnover_s,
+        "estimated_ms": spent.estimated_s,
+        "far_ms": spent.far_s,
+    }
+    return {name: round(1000 * value) for name, value in seconds.items()}
+
+
 def _work_left(job: Job, time: int) -> float:
     """What is not done yet of a job at a time K, in core-seconds by estimate."""
     steps = zip(job.description.steps, job.at_time(time).steps, strict=True)
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -300,7 +300,7 @@
             if run is not None:
                 ends.append(EndedRun(run, entry.how, entry.saved))
                 if entry.ran_ms:
-                    self.scheduler.run_lasted(run_key(run), run.index, report.instance, run.run, entry.ran_ms / 1000)
+                    self.feeder.run_lasted(run, report.instance, entry.ran_ms / 1000)
         known = tuple(
             end
             for end in ends
--- /dev/null
+++ b/tests/test_job_times.py
@@ -0,0 +1,107 @@
+"""Where the time of a late job went: parts that sum to what the head has seen."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from millethead.control.job_times import JobTimes, LateJob, TimeSpent
+from millethead.execution.messages import Resources, RunEnd
+from millethead.jobs.commands import QueueTerms
+from millethead.jobs.description import JobDescription, StepDescription
+from millethead.jobs.state import Job
+from millethead.scheduling.model import StepKey
+
+STEP = StepDescription(2, Resources(1000, 512, 0), 500, (), False, False, False, "", "", 0, False, False)
+FIRST, SECOND = StepKey("j", 0, 0), StepKey("j", 0, 1)
+
+
+def job(*steps: StepDescription) -> Job:
+    """A job with an objective of 1.5 times its chain and 0.25 s."""
+    terms = QueueTerms("route", "service", 0, 4, 250, 1500)
+    return Job("j", terms, JobDescription("", steps, 0, 0, 0), b"", 0)
+
+
+def seconds(late: LateJob) -> tuple[float, ...]:
+    """The parts, rounded."""
+    spent = late.spent
+    parts = (spent.waited_s, spent.repeated_s, spent.ran_s, spent.turnover_s, spent.estimated_s, spent.far_s)
+    return tuple(round(part, 6) for part in parts)
+
+
+def test_last_task_of_each_step_tells_where_the_time_went() -> None:
+    times, two = JobTimes(), job(STEP, replace(STEP, dependencies=(0,)))
+    times.step_ready(FIRST, 10.0)
+    times.run_assigned(FIRST, 0, False, 10.1)
+    times.run_assigned(FIRST, 1, False, 10.2)
+    times.run_ended(FIRST, 1, RunEnd.FAILED, 0.5, 10.5)
+    times.run_assigned(FIRST, 1, True, 10.6)
+    times.run_ended(FIRST, 0, RunEnd.DONE, 0.5, 10.7)
+    times.run_lasted(FIRST, 1, 0.4)
+    times.run_ended(FIRST, 1, RunEnd.DONE, 0.5, 11.1)
+    times.step_done(two, FIRST, 11.1)
+    times.step_ready(SECOND, 11.1)
+    for index in (0, 1):
+        times.run_assigned(SECOND, index, False, 11.2)
+        times.run_lasted(SECOND, index, 0.5)
+        times.run_ended(SECOND, index, RunEnd.DONE, 0.5, 11.8)
+    times.step_done(two, SECOND, 11.8)
+    late = times.time_over(two, 0, 1.9)
+    assert late is not None
+    # waited 0.2 and 0.1 before its two runs and 0.1 in the second step; the first run lost 0.3
+    assert seconds(late) == (0.4, 0.3, 0.9, 0.2, 1.0, 0.4)
+    assert late.unseen_s == pytest.approx(0.1)
+    assert late.spent.seen_s + late.unseen_s == pytest.approx(late.total_s)
+
+
+def test_path_goes_over_the_dependency_that_was_done_last() -> None:
+    times = JobTimes()
+    joined = job(STEP, STEP, replace(STEP, dependencies=(0, 1)))
+    for number, end in ((0, 3.0), (1, 2.0)):
+        key = StepKey("j", 0, number)
+        times.step_ready(key, 0.0)
+        times.run_assigned(key, 0, False, 0.5 * (1 + number))
+        times.run_ended(key, 0, RunEnd.DONE, 0.5, end)
+        times.step_done(joined, key, end)
+    last = StepKey("j", 0, 2)
+    times.step_ready(last, 3.0)
+    times.run_assigned(last, 0, False, 3.0)
+    times.run_ended(last, 0, RunEnd.DONE, 0.5, 4.0)
+    times.step_done(joined, last, 4.0)
+    late = times.time_over(joined, 0, 4.0)
+    assert late is not None
+    assert late.spent == TimeSpent(0.5, 0.0, 3.5, 0.0, 1.0, 0.0)
+
+
+def test_job_in_time_is_not_told_and_nothing_is_kept_of_it() -> None:
+    times, one = JobTimes(), job(STEP)
+    times.step_ready(FIRST, 0.0)
+    times.run_assigned(FIRST, 0, False, 0.0)
+    times.run_ended(FIRST, 0, RunEnd.DONE, 0.5, 0.9)
+    times.step_done(one, FIRST, 0.9)
+    assert times.time_over(one, 0, 0.9) is None
+    assert times.is_empty
+
+
+def test_time_under_an_earlier_head_is_unseen() -> None:
+    times, one = JobTimes(), job(STEP)
+    times.step_ready(FIRST, 5.0)
+    times.run_assigned(FIRST, 0, False, 5.0)
+    times.run_ended(FIRST, 0, RunEnd.DONE, 0.5, 5.5)
+    times.step_done(one, FIRST, 5.5)
+    late = times.time_over(one, 0, 2.5)
+    assert late is not None and late.unseen_s == pytest.approx(2.0)
+
+
+def test_what_is_cancelled_is_forgotten() -> None:
+    times, two = JobTimes(), job(STEP, replace(STEP, dependencies=(0,)))
+    times.step_ready(FIRST, 0.0)
+    times.run_assigned(FIRST, 0, False, 0.0)
+    times.run_ended(FIRST, 0, RunEnd.DONE, 0.5, 0.5)
+    times.step_done(two, FIRST, 0.5)
+    times.step_ready(SECOND, 0.5)
+    times.forget("j", 0, 2)
+    assert times.is_empty
+    times.run_ended(SECOND, 0, RunEnd.STOPPED, 0.5, 1.0)
+    assert times.is_empty
