Agent: one lost order raises no suspicion, and ends seen late tell no pace

Change: two unanswered calls in a row; a hold is due after its wait; holds wait for 0.25 s at most for 10 s after a lost one; no run time from ends that were seen late after a lost hold; first start timeout 0.15 s.

--- a/millethead/execution/agent.py
+++ b/millethead/execution/agent.py
@@ -254,7 +254,10 @@
             self._tell_worker()
             return
         if _missed(call, answer):
-            life.missed(answer.sent_at, isinstance(call, HoldCall))
+            if isinstance(call, HoldCall):
+                life.missed_hold(min(now, answer.sent_at + call.wait_ms / MS), now)
+            else:
+                life.missed(answer.sent_at)
         else:
             self._take_heard(life, call, answer, now)
         if isinstance(call, HoldCall):
@@ -343,7 +346,7 @@
     def _suspect(self, life: Life, now: float) -> None:
         """Tell the head of a worker that leaves calls unanswered, or whose heartbeats stay away."""
         from_calls = math.inf
-        if life.missed_since is not None and (life.runs.any_at_worker() or self._calls.count):
+        if life.missed_since is not None and life.is_doubted and (life.runs.any_at_worker() or self._calls.count):
             from_calls = life.missed_since + SUSPICION_AFTER_S
         begins_at = min(from_calls, life.quiet_at(self._limits.heartbeat_s))
         if not self._wake.due(max(begins_at, life.suspected_at + SUSPICION_INTERVAL_S), now):
--- a/millethead/execution/life.py
+++ b/millethead/execution/life.py
@@ -15,6 +15,10 @@
 MOST_RENEWING_MISSES = 1  # unanswered holds in a row after which no hold extends the deadline any more
 LONGEST_WAIT_S = 2.0  # that a hold may wait for an end
 ANSWER_PATIENCE_S = 0.7  # for the answer of a hold, beyond its wait
+SHORT_PATIENCE_S = 0.4  # the same for one that does not wait, right after an unanswered one
+LEAST_UNANSWERED = 2  # calls in a row until it is doubted that the worker answers: single orders get lost
+LOSSY_S = 10.0  # for so long after an unanswered hold the next ones wait for LOSSY_WAIT_S at most
+LOSSY_WAIT_S = 0.25
 RENEWAL_RESERVE_S = 1.5  # of the hold that must be left when a waiting hold comes back
 SHORTEST_WAIT_S = 0.3
 BEATS_MISSED = 3  # heartbeats, and BEAT_SLACK_S, until a worker that is not called is suspected
@@ -39,9 +43,10 @@
     head came in this process; `settled`: in this session. `most_deadline`: the latest ever sent, `granted` ever
     answered (the worker's clock, ms). `lapses_at`: the earliest moment by which all of a predecessor's holds are over.
     `hold`: the number of the hold under way. `misses`: holds without an answer in a row. `missed_since`: since when
-    calls go unanswered. `heard_at`: the last heartbeat or answer. `leaves_at`: set once it said that it ends.
-    `refused_since`: since when calls find no listener, `refusals` of them. Other times are seconds of the agent's
-    steady clock."""
+    calls go unanswered, `unanswered` of them in a row. `hold_lost_at`: when the last unanswered hold was given up.
+    `answered_at`: when the newest list came. `heard_at`: the last heartbeat or answer. `leaves_at`: set once it said
+    that it ends. `refused_since`: since when calls find no listener, `refusals` of them. Other times are
+    seconds of the agent's steady clock."""
 
     instance: str
     watched: bool
@@ -64,6 +69,9 @@
     listed_at: float = -math.inf
     misses: int = 0
     missed_since: float | None = None
+    unanswered: int = 0
+    hold_lost_at: float = -math.inf
+    answered_at: float = -math.inf
     suspected_at: float = -math.inf
     leaves_at: float = math.inf
     refused_since: float | None = None
@@ -106,10 +114,16 @@
         """Seconds that the next hold may wait for an end."""
         if self.misses:
             return 0.0
+        longest = LOSSY_WAIT_S if now < self.hold_lost_at + LOSSY_S else LONGEST_WAIT_S
         if deadline_ms is None:
-            return LONGEST_WAIT_S
+            return longest
         left = self.left(max(deadline_ms, self.granted), now) - RENEWAL_RESERVE_S
-        return max(SHORTEST_WAIT_S, min(left, LONGEST_WAIT_S))
+        return min(longest, max(SHORTEST_WAIT_S, left))
+
+    @property
+    def hold_patience_s(self) -> float:
+        """For the answer of the next hold, beyond its wait."""
+        return SHORT_PATIENCE_S if self.misses == 1 else ANSWER_PATIENCE_S
 
     # ---- silence -------------------------------------------------------------------------------------
 
@@ -120,7 +134,7 @@
     def heard(self, now: float) -> None:
         """A call was answered."""
         self.heard_at = now
-        self.misses = 0
+        self.misses = self.unanswered = 0
         self.missed_since = None
         self.answers()
 
@@ -136,12 +150,26 @@
         self.refusals += 1
         return self.refusals >= LEAST_REFUSALS and now - self.refused_since >= DEAD_PORT_S
 
-    def missed(self, sent_at: float, of_hold: bool) -> None:
-        """A call went unanswered."""
+    @property
+    def is_doubted(self) -> bool:
+        """Whether so many calls in a row went unanswered that nothing new should be begun there."""
+        return self.unanswered >= LEAST_UNANSWERED
+
+    def missed(self, due_at: float) -> None:
+        """A call went unanswered that should have been answered from `due_at` on."""
         if self.missed_since is None:
-            self.missed_since = sent_at
-        if of_hold:
-            self.misses += 1
+            self.missed_since = due_at
+        self.unanswered += 1
+
+    def missed_hold(self, due_at: float, now: float) -> None:
+        """The same of a hold."""
+        self.missed(due_at)
+        self.misses += 1
+        self.hold_lost_at = now
+
+    def blind_s(self, sent_at: float) -> float:
+        """For how long no list came before a hold that was sent at this time, if one went unanswered meanwhile."""
+        return sent_at - self.answered_at if self.hold_lost_at >= self.answered_at else 0.0
 
     @property
     def lapsed_at(self) -> float:
--- a/millethead/execution/listing.py
+++ b/millethead/execution/listing.py
@@ -10,18 +10,21 @@
 from millethead.execution.runs import Run, RunState, change
 from millethead.execution.worker_clock import MS
 
+MOST_BLIND_SHARE = 0.5  # part of a run's time by which it may be known too late for the time to say something
 PROGRESS_INTERVAL_S = 1.0  # between two reports of a run's percentage; a new checkpoint is told at once
 
 
 def merge_lists(life: Life, lists: HoldLists, sent_at: float, now: float) -> None:
     """Take in the lists of a hold that was sent at `sent_at`: what is missing proves nothing about later events."""
+    blind_s = life.blind_s(sent_at)
     for end in life.last_seen.fresh(lists.ends):
-        _take_end(life, end, now)
+        _take_end(life, end, blind_s, now)
     for progress in lists.running:
         _take_running(life, progress, now)
     if lists.complete:
         _settle_missing(life, {progress.key for progress in lists.running}, sent_at, now)
     life.listed, life.listed_at = True, max(life.listed_at, sent_at)
+    life.answered_at = now
 
 
 def conclude(life: Life, run: Run, how: RunEnd, now: float) -> None:
@@ -36,9 +39,9 @@
     life.draft.started.append(run.key)
 
 
-def _take_end(life: Life, end: EndEntry, now: float) -> None:
+def _take_end(life: Life, end: EndEntry, blind_s: float, now: float) -> None:
     run = life.runs.get(end.key)
-    life.draft.ends.append(end if run is None else replace(end, ran_ms=_ran_ms(run, now)))
+    life.draft.ends.append(end if run is None else replace(end, ran_ms=_ran_ms(run, blind_s, now)))
     life.unstopped.pop(end.key, None)
     if run is None:
         return
@@ -47,9 +50,13 @@
         change(run, RunState.ENDED, now)
 
 
-def _ran_ms(run: Run, now: float) -> int:
-    """How long a run has run until now; 0 where that is not known."""
-    return 0 if run.began_at is None else max(1, int((now - run.began_at) * MS))
+def _ran_ms(run: Run, blind_s: float, now: float) -> int:
+    """How long a run has run until now; 0 where that is not known. It may have ended up to `blind_s` earlier, as
+    holds before the one that shows its end went unanswered."""
+    if run.began_at is None:
+        return 0
+    ran_s = now - run.began_at
+    return 0 if min(blind_s, ran_s) > MOST_BLIND_SHARE * ran_s else max(1, int(ran_s * MS))
 
 
 def _take_running(life: Life, progress: RunProgress, now: float) -> None:
--- a/millethead/execution/messages.py
+++ b/millethead/execution/messages.py
@@ -71,7 +71,7 @@
 @dataclass(frozen=True, slots=True)
 class EndEntry(Record):
     """One listed end: `number` is the worker's N; 0 where no listed end stands behind it (LOST, NEVER). `ran_ms`: from
-    the answer of its start to the list that showed its end, by the agent's clock; 0: not known."""
+    the answer of its start to the list that showed its end, by the agent's clock; 0: not known, or only roughly."""
 
     number: U64
     key: RunKey
--- a/millethead/execution/worker_calls.py
+++ b/millethead/execution/worker_calls.py
@@ -21,7 +21,7 @@
 from millethead.execution.wake import Wake
 from millethead.execution.worker_clock import MS
 
-START_TIMEOUTS_S = (0.3, 0.4, 0.5)  # of the tries of one start; after the last it is stopped
+START_TIMEOUTS_S = (0.15, 0.3, 0.6)  # of the tries of one start; after the last it is stopped
 STOP_TIMEOUTS_S = (0.4, 0.6, 0.8, 1.0)
 ROOM_PATIENCE_S = 1.0  # that a start may wait until it can be made
 MOST_ORDER_CALLS = 3  # starts and stops under way at the same time
@@ -117,8 +117,8 @@
     def _start_due(self, life: Life, run: Run, now: float) -> bool:
         if run.state is RunState.STARTING:
             return not run.calling and self._wake.due(run.retry_at, now) and self._fits(life, run)
-        answers = life.missed_since is None
-        return run.state is RunState.WAITING and answers and self._wake.due(run.retry_at, now) and self._fits(life, run)
+        waits = run.state is RunState.WAITING and not life.is_doubted
+        return waits and self._wake.due(run.retry_at, now) and self._fits(life, run)
 
     def _fits(self, life: Life, run: Run) -> bool:
         return life.info is not None and life.runs.fits(run, life.info.capacity)
@@ -171,7 +171,7 @@
             life.sent_deadline(deadline)
         wait_s = 0.0 if self._unproved(life) else life.wait_for(deadline, now)
         wait_ms = min(MOST_WAIT_MS, int(wait_s * MS))
-        timeout = wait_ms / MS + ANSWER_PATIENCE_S
+        timeout = wait_ms / MS + life.hold_patience_s
         life.hold = self._call(
             lambda number: HoldCall(
                 number, life.instance, timeout, self.fence, life.last_seen.number, deadline, wait_ms
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -27,7 +27,7 @@
     read_answer,
 )
 from millethead.execution.heartbeats import MalformedBeat, read_beat
-from millethead.execution.life import Life
+from millethead.execution.life import LOSSY_S, LOSSY_WAIT_S, SHORT_PATIENCE_S, Life
 from millethead.execution.messages import (
     DesiredRuns,
     EndEntry,
@@ -544,6 +544,62 @@
     assert probe.deadline_ms is None or probe.deadline_ms == again.deadline_ms
 
 
+def test_single_lost_hold_raises_no_suspicion_and_new_starts_go_on(desk: Desk) -> None:
+    """A hold that waits is due only after its wait; one lost order says little of the worker."""
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    desk.answer(desk.only(HoldCall), CallVerdict.UNCLEAR, after=2.7)
+    desk.want(order("b.0.0.0"))
+    assert "b.0.0.0" in desk.starts()
+    assert not desk.records(WorkerSuspected)
+    desk.answer(desk.only(HoldCall))
+    desk.pass_time(2.0)
+    assert not desk.records(WorkerSuspected)
+
+
+def test_second_lost_call_raises_suspicion_and_keeps_new_starts_back(desk: Desk) -> None:
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    first = desk.only(HoldCall)
+    desk.answer(first, CallVerdict.UNCLEAR, after=first.timeout_s)
+    again = desk.only(HoldCall)
+    assert again.timeout_s == SHORT_PATIENCE_S
+    desk.answer(again, CallVerdict.UNCLEAR, after=again.timeout_s)
+    desk.want(order("b.0.0.0"))
+    assert "b.0.0.0" not in desk.starts()
+    assert desk.records(WorkerSuspected)
+
+
+def test_holds_wait_briefly_after_one_was_lost(desk: Desk) -> None:
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    running = (RunProgress(RunKey("a.0.0.0", 1), "", 1),)
+    desk.answer(desk.only(HoldCall), CallVerdict.UNCLEAR, after=2.7)
+    lost_at = desk.now
+    desk.answer(desk.only(HoldCall), running=running)
+    waits: list[tuple[float, int]] = []
+    while desk.now < lost_at + 2 * LOSSY_S:
+        desk.pass_time(0.05)
+        for call in [call for call in desk.calls if isinstance(call, HoldCall)]:
+            waits.append((desk.now - lost_at, call.wait_ms))
+            desk.receive(LeaseGrant(int(desk.now * 1000), 60_000))
+            desk.answer(call, running=running, after=call.wait_ms / 1000)
+    assert {wait for at, wait in waits if at < LOSSY_S} == {int(LOSSY_WAIT_S * 1000)}
+    assert min(wait for at, wait in waits if at > LOSSY_S + 1) > 1000
+
+
+def test_end_that_was_listed_late_after_a_lost_hold_tells_no_time(desk: Desk) -> None:
+    """Otherwise a worker that loses an order now and then is taken for a slow one."""
+    desk.want(order("a.0.0.0"))
+    desk.answer(desk.only(StartCall))
+    desk.answer(desk.only(HoldCall), running=(RunProgress(RunKey("a.0.0.0", 1), "", 1),))
+    desk.pass_time(0.3)
+    desk.answer(desk.only(HoldCall), CallVerdict.UNCLEAR, after=2.7)
+    desk.answer(desk.only(HoldCall), ends=(EndEntry(1, RunKey("a.0.0.0", 1), RunEnd.DONE, ""),))
+    (report,) = [record for record in desk.sent if isinstance(record, RunReport) and record.ends]
+    assert report.ends[0].ran_ms == 0
+
+
 def test_hold_that_an_unhealthy_worker_turns_down_counts_as_missed(desk: Desk) -> None:
     desk.want(order("a.0.0.0"))
     desk.answer(desk.only(StartCall))
