Agent: a hold waits no longer than the most urgent run there can bear to lose

Change: a hold waits for four of the gaps between looks that the most urgent run asks for, 0.3 s at least; 0.35 s of patience beyond its wait until two in a row are lost. Stops are repeated after 0.2 s.

--- a/benchmarks/decisions/paired.py
+++ b/benchmarks/decisions/paired.py
@@ -1,19 +1,18 @@
 """Two versions on the same days of the operators' bench, in turn: how far their worth and their prices differ.
 
-Usage: paired.py BENCH BEFORE AFTER --plays=LIST [--jobs=N] [--why=TEXT] [--out=FILE]
-       paired.py --again=FILE
+Usage: paired.py play BENCH FILE --plays=LIST [--jobs=N] [--why=TEXT] VERSION=FOLDER...
+       paired.py compare FILE BEFORE AFTER
 
-BEFORE and AFTER are checkouts, one of each version, beside each other. A play is SITE:DAY:SEEDS, SEEDS a number of
-seeds drawn from the day's name or 'own' for the day's own seed; several are separated by commas. Each play is made with
-both versions, every other one with the later version first. For each site and day, and for all, the mean of the paired
-differences is printed with a bootstrap interval of 95%, then the verdict, the prices and the rules broken.
+`play` plays each day with each version, in turn, and adds the rows to FILE. The folders are checkouts, one of each
+version, beside each other. A play is SITE:DAY:SEEDS, SEEDS a number of seeds drawn from the names of site and day, or
+'own' for the day's own seed; several are separated by commas. `compare` takes the plays that both versions have: for
+each site and day, and for all, it prints the mean of the paired differences with a bootstrap interval of 95%, then the
+verdict, the change of the prices, and the rules broken.
 
 Options:
   --plays=LIST  what is played
   --jobs=N      plays at once [default: 4]
   --why=TEXT    for the journal [default: paired]
-  --out=FILE    where the rows go [default: benchmarks/decisions/results/paired.csv]
-  --again=FILE  judge the rows of a file that was written before
 """
 
 from __future__ import annotations
@@ -24,7 +23,7 @@
 import sys
 from collections.abc import Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, fields
 from math import ceil
 from pathlib import Path
 from random import Random
@@ -142,27 +141,25 @@
 
 
 def play_all(options: dict[str, Any]) -> list[Row]:
-    """All plays with both versions."""
-    folders = {"before": Path(options["BEFORE"]), "after": Path(options["AFTER"])}
-    tasks = []
-    for number, what in enumerate(plays_of(options["--plays"])):
-        order = ("before", "after") if number % 2 else ("after", "before")
-        tasks += [(version, what) for version in order]
+    """All plays with all versions."""
+    versions = [entry.split("=", 1) for entry in options["VERSION=FOLDER"]]
+    tasks = [(name, folder, what) for what in plays_of(options["--plays"]) for name, folder in versions]
+
+    def play_task(task: tuple[str, str, Play]) -> Row:
+        name, folder, what = task
+        return play(options["BENCH"], Path(folder), name, what, options["--why"])
+
     with ThreadPoolExecutor(int(options["--jobs"])) as pool:
-        rows = list(
-            pool.map(
-                lambda task: play(options["BENCH"], folders[task[0]], task[0], task[1], options["--why"]),
-                tasks,
-            )
-        )
-    return rows
+        return list(pool.map(play_task, tasks))
 
 
-def report(rows: list[Row]) -> list[str]:
-    """What the rows tell, in lines."""
+def report(rows: list[Row], before: str, after: str) -> list[str]:
+    """What the rows of two versions tell, in lines."""
     by_play: dict[tuple[str, str, str], dict[str, Row]] = {}
     for row in rows:
-        by_play.setdefault((row.site, row.day, row.seed), {})[row.version] = row
+        role = {before: "before", after: "after"}.get(row.version)
+        if role is not None:
+            by_play.setdefault((row.site, row.day, row.seed), {})[role] = row
     pairs = [found for found in by_play.values() if len(found) == len(("before", "after"))]
     groups: dict[str, list[dict[str, Row]]] = {}
     for found in pairs:
@@ -171,7 +168,7 @@
         groups.setdefault(f"{row.site}, all days", []).append(found)
     groups["all"] = pairs
     lines = [line for name, group in groups.items() for line in _group_lines(name, group)]
-    lines += [f"RULE BROKEN: {row}" for row in rows if row.broken]
+    lines += [f"RULE BROKEN: {row}" for pair in pairs for row in pair.values() if row.broken]
     return lines
 
 
@@ -211,24 +208,26 @@
     return Row(**{**values, **figures})  # type: ignore[arg-type]
 
 
-def write_rows(file: Path, rows: list[Row]) -> None:
-    """Keep the rows."""
+def add_rows(file: Path, rows: list[Row]) -> None:
+    """Keep the rows behind those of earlier calls."""
     file.parent.mkdir(parents=True, exist_ok=True)
-    with file.open("w", newline="") as lines:
-        writer = csv.DictWriter(lines, list(asdict(rows[0])), lineterminator="\n")
-        writer.writeheader()
+    fresh = not file.exists()
+    with file.open("a", newline="") as lines:
+        writer = csv.DictWriter(lines, [field.name for field in fields(Row)], lineterminator="\n")
+        if fresh:
+            writer.writeheader()
         writer.writerows(asdict(row) for row in rows)
 
 
 def main() -> None:
-    """Play, or judge again."""
+    """Play, or compare."""
     options = docopt(__doc__)
-    if options["--again"]:
-        rows = read_rows(Path(options["--again"]))
-    else:
-        rows = play_all(options)
-        write_rows(Path(options["--out"]), rows)
-    sys.stdout.writelines(line + "\n" for line in report(rows))
+    file = Path(options["FILE"])
+    if options["play"]:
+        add_rows(file, play_all(options))
+        return
+    lines = report(read_rows(file), options["BEFORE"], options["AFTER"])
+    sys.stdout.writelines(line + "\n" for line in lines)
 
 
 if __name__ == "__main__":
--- a/millethead/execution/life.py
+++ b/millethead/execution/life.py
@@ -15,7 +15,8 @@
 MOST_RENEWING_MISSES = 1  # unanswered holds in a row after which no hold extends the deadline any more
 LONGEST_WAIT_S = 2.0  # that a hold may wait for an end
 ANSWER_PATIENCE_S = 0.7  # for the answer of a hold, beyond its wait
-SHORT_PATIENCE_S = 0.4  # the same for one that does not wait, right after an unanswered one
+SHORT_PATIENCE_S = 0.35  # the same of the first one and of that after it, of which one may be lost
+PATIENT_MISSES = 2  # holds unanswered in a row from which on the next ones are given more time
 LEAST_UNANSWERED = 2  # calls in a row until it is doubted that the worker answers: single orders get lost
 LOSSY_S = 10.0  # for so long after an unanswered hold the next ones wait for LOSSY_WAIT_S at most
 LOSSY_WAIT_S = 0.25
@@ -123,7 +124,7 @@
     @property
     def hold_patience_s(self) -> float:
         """For the answer of the next hold, beyond its wait."""
-        return SHORT_PATIENCE_S if self.misses == 1 else ANSWER_PATIENCE_S
+        return SHORT_PATIENCE_S if self.misses < PATIENT_MISSES else ANSWER_PATIENCE_S
 
     # ---- silence -------------------------------------------------------------------------------------
 
--- a/millethead/execution/worker_calls.py
+++ b/millethead/execution/worker_calls.py
@@ -13,7 +13,7 @@
 from millethead.execution.actions import Action, CallWorker
 from millethead.execution.calls import CallAnswer, CallVerdict, HoldCall, StartCall, StopCall, WorkerCall
 from millethead.execution.lease import HeadSession
-from millethead.execution.life import ANSWER_PATIENCE_S, Life
+from millethead.execution.life import ANSWER_PATIENCE_S, SHORTEST_WAIT_S, Life
 from millethead.execution.listing import conclude, merge_lists
 from millethead.execution.messages import RunEnd, RunKey
 from millethead.execution.order_answers import retry_pause
@@ -22,12 +22,13 @@
 from millethead.execution.worker_clock import MS
 
 START_TIMEOUTS_S = (0.15, 0.3, 0.6)  # of the tries of one start; after the last it is stopped
-STOP_TIMEOUTS_S = (0.4, 0.6, 0.8, 1.0)
+STOP_TIMEOUTS_S = (0.2, 0.4, 0.8, 1.0)
 ROOM_PATIENCE_S = 1.0  # that a start may wait until it can be made
 MOST_ORDER_CALLS = 3  # starts and stops under way at the same time
 RENEWAL_DUE_S = 1.0  # of the hold that is left when the pause between looks is waived
 RENEWAL_GAIN_MS = 300  # by which a renewal must extend the hold for that
 MOST_WAIT_MS = 2000
+WAIT_GAPS = 4.0  # times the gap between looks that a run asks for, which a hold may wait for an end
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +170,7 @@
             return
         if deadline is not None:
             life.sent_deadline(deadline)
-        wait_s = 0.0 if self._unproved(life) else life.wait_for(deadline, now)
+        wait_s = 0.0 if self._unproved(life) else min(life.wait_for(deadline, now), self._longest_wait(life))
         wait_ms = min(MOST_WAIT_MS, int(wait_s * MS))
         timeout = wait_ms / MS + life.hold_patience_s
         life.hold = self._call(
@@ -205,6 +206,11 @@
         else:
             life.look_at = now + max(self._limits.look_gap_s, retry_pause(life.misses))
 
+    def _longest_wait(self, life: Life) -> float:
+        """How long a hold may wait for an end: one that gets lost is found out only after that, so that it must not
+        take much longer than what the most urgent run there can lose."""
+        return max(SHORTEST_WAIT_S, WAIT_GAPS * min(map(_gap_for, life.runs.at_worker()), default=math.inf))
+
     def _look_gap(self, life: Life) -> float:
         """The least time between two looks: each costs, and one brings several ends."""
         return min([self.look_gap_s, *(_gap_for(run) for run in life.runs.at_worker())])
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -48,7 +48,7 @@
 from millethead.execution.order_answers import take_start_answer
 from millethead.execution.reports import LastSeen, ReportBook
 from millethead.execution.runs import IllegalChange, Run, RunState, RunTable, change
-from millethead.execution.worker_calls import AgentLimits
+from millethead.execution.worker_calls import WAIT_GAPS, AgentLimits
 from millethead.execution.worker_clock import WorkerClock
 from millethead.rpc.codec import Record
 
@@ -567,9 +567,26 @@
     desk.answer(again, CallVerdict.UNCLEAR, after=again.timeout_s)
     desk.want(order("b.0.0.0"))
     assert "b.0.0.0" not in desk.starts()
+    desk.pass_time(0.05)
     assert desk.records(WorkerSuspected)
 
 
+def test_hold_waits_no_longer_than_the_most_urgent_run_there_allows(desk: Desk) -> None:
+    """A lost hold is found out after its wait: until then no end at that worker is known."""
+    urgent = replace(order("a.0.0.0"), look_gap_ms=100)
+    desk.want(urgent, order("b.0.0.0"))
+    for start in [call for call in desk.calls if isinstance(call, StartCall)]:
+        desk.answer(start)
+    running = tuple(RunProgress(RunKey(name, 1), "", 1) for name in ("a.0.0.0", "b.0.0.0"))
+    desk.answer(desk.only(HoldCall), running=running)
+    desk.pass_time(0.1)
+    hold = desk.only(HoldCall)
+    assert hold.wait_ms == WAIT_GAPS * 100 and hold.timeout_s == pytest.approx(0.4 + SHORT_PATIENCE_S)
+    desk.answer(hold, running=running[1:], ends=(EndEntry(1, RunKey("a.0.0.0", 1), RunEnd.DONE, ""),))
+    desk.pass_time(0.3)
+    assert desk.only(HoldCall).wait_ms > 1000
+
+
 def test_holds_wait_briefly_after_one_was_lost(desk: Desk) -> None:
     desk.want(order("a.0.0.0"))
     desk.answer(desk.only(StartCall))
