Control: silent agents get nothing new, and their idempotent runs go on elsewhere

Cause: the connection of an agent that is cut off breaks after 4 s, and not even then did the scheduler hear of it: its worker filled up with tasks whose orders went nowhere, and what ran there waited for the lease of 12 s. Change: control/silence.py awaits a word after each order (0.35 s); a silent agent's worker is not reachable until it is heard. Runs of idempotent steps there, and at workers that do not answer their agent, are ended as lost and started elsewhere; the run before is stopped when the agent is heard again.

--- a/millethead/control/agents.py
+++ b/millethead/control/agents.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from millethead.control.commit import Committed, CommittedLink
+from millethead.control.silence import Silences
 from millethead.execution.messages import AgentHello, DesiredRuns, LeaseGrant, RunKey, RunOrder, WorkerInfo
 from millethead.jobs.commands import TaskRun, task_run
 from millethead.jobs.state import JobTable, Task
@@ -63,6 +64,7 @@
         self._lease_ends: dict[str, float] = {}
         self.stopping: set[TaskRun] = set()  # to be stopped: told to the agent, or told once that is committed
         self._suspected: dict[str, float] = {}
+        self.silences = Silences(now)
 
     # ---- sessions and lives ------------------------------------------------------------------------------
 
@@ -97,10 +99,15 @@
             rack,
             info.draining or session.node in self._drained,
             info.remaining_ms / 1000 if info.remaining_ms >= 0 else None,
-            session.leased and info.instance not in self._suspected,
+            self._is_reachable(session, info.instance),
         )
         return self._keep(state)
 
+    def _is_reachable(self, session: AgentSession, instance: str) -> bool:
+        """Whether tasks may be given to a worker."""
+        heard = not self.silences.is_silent(session.node)
+        return session.leased and heard and instance not in self._suspected
+
     def suspect(self, instance: str, now: float) -> WorkerState | None:
         """A worker does not answer its agent; returns its state if it was taken to answer until now."""
         worker = self.workers.get(instance)
@@ -121,7 +128,9 @@
             del self._suspected[instance]
             worker = self.workers.get(instance)
             session = self.sessions.get(worker.node) if worker is not None else None
-            if worker is not None and not worker.reachable and session is not None and session.leased:
+            if worker is None or worker.reachable or session is None:
+                continue
+            if self._is_reachable(session, instance):
                 found.append(self._keep(replace(worker, reachable=True)))
         return found
 
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from millethead.control.agent_watch import AgentWatch
 from millethead.control.agents import LEASE_S, Agents, AgentSession, RunStop
 from millethead.control.callers import MOST_JOB_BYTES, CallerEvents, Callers, Reply
 from millethead.control.calls import (
@@ -57,7 +58,7 @@
     TaskRun,
     task_run,
 )
-from millethead.jobs.state import Job, Outcome, Task
+from millethead.jobs.state import Job, Outcome
 from millethead.replication.view import View
 from millethead.rpc.codec import CodecError, Record, decode_any
 from millethead.scheduling.choosing import FAR_TIMES
@@ -90,6 +91,9 @@
         self.agents = Agents(state.jobs, clock.now(), state.drained)
         self.feeder = Feeder(state.jobs, self.scheduler, self._stop_run)
         self.rounds = Rounds(state.jobs, self.gate, self.scheduler, self.agents, self.feeder, clock, self._stop_run)
+        self._watch = AgentWatch(
+            state.jobs, self.agents, self.scheduler, self.gate, self._end, self._forget_worker, clock.now()
+        )
         self.configurations = ConfigurationStream(view.epoch, state.configuration, self.gate)
         events = CallerEvents(self._job_submitted, self._outcome, self._configured)
         self._calls = Callers(state, self.gate, events, clock.wall_ms, most_job_bytes)
@@ -211,6 +215,8 @@
 
     def agent_record(self, session: AgentSession, record: Record) -> None:
         """A record of an agent."""
+        if self._watch.heard(session):
+            self.rounds.want()
         match record:
             case LeaseRequest(sent_ms=sent_ms):
                 self._lease(session, sent_ms)
@@ -225,6 +231,7 @@
 
     def agent_gone(self, session: AgentSession) -> None:
         self.agents.disconnected(session)
+        self._watch.gone(session, self.clock.now())
 
     def _lease(self, session: AgentSession, sent_ms: int) -> None:
         # the lease counts from the agent's own time of asking: before the moment at which this head is confirmed
@@ -267,6 +274,7 @@
         if worker is not None:
             log.info("worker_suspected", node=session.node, instance=instance)
             self.scheduler.put_worker(worker)
+            self._watch.give_up_idempotent(session.node)
 
     def _evacuate(self, node: str, info: WorkerInfo) -> None:
         """Stop what has to go on elsewhere, at a worker that drains or that the staff have taken out."""
@@ -342,9 +350,11 @@
         if self.feeder.wake(moment):
             self.rounds.want()
         self.rounds.look(moment.now)
+        if moment.now >= self._watch.next_look and self._watch.look(moment.now):
+            self.rounds.want()
         if moment.now >= self._next_check:
             self._next_check = moment.now + LOOK_S
-            self._check_leases(moment.now)
+            self._watch.check_leases(moment.now)
             for worker in self.agents.answering_again(moment.now):
                 self.scheduler.put_worker(worker)
             for change in self.scheduler.health.take_changes():
@@ -363,23 +373,9 @@
         if moment.now >= self._next_trim:
             self._next_trim = moment.now + TRIM_S
             self._propose(trim_command(self.state.jobs.jobs.values()))
-        housekeeping = min(self._next_check, self._next_purge, self._next_trim)
+        housekeeping = min(self._next_check, self._next_purge, self._next_trim, self._watch.next_look)
         return min(self.feeder.next_wake(moment), housekeeping, self.rounds.next_look)
 
-    def _check_leases(self, now: float) -> None:
-        """End what runs at agents whose lease is over."""
-        runs_at: dict[str, list[tuple[TaskRun, Task]]] = {}
-        for run, task in self.state.jobs.open_runs():
-            runs_at.setdefault(task.node, []).append((run, task))
-        for node in sorted(runs_at):
-            if not self.agents.lapsed(node, now):
-                continue
-            log.warning("lease_lapsed", node=node, runs=len(runs_at[node]))
-            for instance in sorted({task.instance for _, task in runs_at[node]}):
-                self._forget_worker(instance)
-            self.agents.end_session(node)
-            self._end(tuple(EndedRun(run, RunEnd.LOST, "") for run, _ in runs_at[node]))
-
     def _propose(self, command: Record | None) -> None:
         if command is not None:
             self.gate.propose(command)
