Control: silent agents get nothing new until they are heard; giving up idempotent runs is reverted

Change: the part that gave runs up is out again. What stays: a silent agent's worker, and one whose agent's connection has ended, is not reachable until it is heard.

--- a/millethead/control/agents.py
+++ b/millethead/control/agents.py
@@ -110,8 +110,12 @@
 
     def suspect(self, instance: str, now: float) -> WorkerState | None:
         """A worker does not answer its agent; returns its state if it was taken to answer until now."""
-        worker = self.workers.get(instance)
         self._suspected[instance] = now
+        return self.unreachable(instance)
+
+    def unreachable(self, instance: str) -> WorkerState | None:
+        """Nothing new may be given to a worker; returns its state if that was not so until now."""
+        worker = self.workers.get(instance)
         if worker is None or not worker.reachable:
             return None
         return self._keep(replace(worker, reachable=False))
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -91,9 +91,7 @@
         self.agents = Agents(state.jobs, clock.now(), state.drained)
         self.feeder = Feeder(state.jobs, self.scheduler, self._stop_run)
         self.rounds = Rounds(state.jobs, self.gate, self.scheduler, self.agents, self.feeder, clock, self._stop_run)
-        self._watch = AgentWatch(
-            state.jobs, self.agents, self.scheduler, self.gate, self._end, self._forget_worker, clock.now()
-        )
+        self._watch = AgentWatch(state.jobs, self.agents, self.scheduler, self._end, self._forget_worker, clock.now())
         self.configurations = ConfigurationStream(view.epoch, state.configuration, self.gate)
         events = CallerEvents(self._job_submitted, self._outcome, self._configured)
         self._calls = Callers(state, self.gate, events, clock.wall_ms, most_job_bytes)
@@ -231,7 +229,7 @@
 
     def agent_gone(self, session: AgentSession) -> None:
         self.agents.disconnected(session)
-        self._watch.gone(session, self.clock.now())
+        self._watch.gone(session)
 
     def _lease(self, session: AgentSession, sent_ms: int) -> None:
         # the lease counts from the agent's own time of asking: before the moment at which this head is confirmed
@@ -274,7 +272,6 @@
         if worker is not None:
             log.info("worker_suspected", node=session.node, instance=instance)
             self.scheduler.put_worker(worker)
-            self._watch.give_up_idempotent(session.node)
 
     def _evacuate(self, node: str, info: WorkerInfo) -> None:
         """Stop what has to go on elsewhere, at a worker that drains or that the staff have taken out."""
