--- a/millethead/programs/command_line.py
+++ b/millethead/programs/command_line.py
@@ -6,15 +6,12 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
-from millethead.configuration.settings import VARIABLE, InvalidSettings, ProcessSettings, load_settings
-from millethead.logs import set_up
+from millethead.configuration.settings import VARIABLE, InvalidSettings, load_settings
 from millethead.programs.command_support import (
     CODES,
     AsJson,
@@ -30,6 +27,7 @@
 )
 from millethead.programs.config_commands import config_app
 from millethead.programs.disk_commands import log_app, snapshot_app
+from millethead.programs.serving import Program, serve
 
 __all__ = ["ExitCode", "app", "main"]
 
@@ -60,43 +58,27 @@
 # ---- programs --------------------------------------------------------------------------------------------
 
 
-def _serve(program: Callable[[ProcessSettings], Coroutine[Any, Any, None]], level: str) -> None:
-    settings = read_settings()
-    set_up(level, settings.node)
-    asyncio.run(program(settings))
+def _serve(program: Program, level: str) -> None:
+    read_settings()  # tells what is wrong with them
+    serve(program, level)
 
 
 @app.command()
 def control(log_level: LogLevel = "info") -> None:
     """A member of the core: keeps the configuration and the jobs, and schedules while it is the head."""
-    from millethead.programs.control import ControlProgram
-
-    async def run(settings: ProcessSettings) -> None:
-        await ControlProgram(settings).run()
-
-    _serve(run, log_level)
+    _serve("control", log_level)
 
 
 @app.command()
 def dispatcher(log_level: LogLevel = "info") -> None:
     """Takes clients' requests and passes them on to the core."""
-    from millethead.programs.dispatcher import DispatcherProgram
-
-    async def run(settings: ProcessSettings) -> None:
-        await DispatcherProgram(settings).run()
-
-    _serve(run, log_level)
+    _serve("dispatcher", log_level)
 
 
 @app.command()
 def agent(log_level: LogLevel = "info") -> None:
     """Stands beside one worker: starts, stops and holds what runs there."""
-    from millethead.programs.agent import AgentProgram
-
-    async def run(settings: ProcessSettings) -> None:
-        await AgentProgram(settings).run()
-
-    _serve(run, log_level)
+    _serve("agent", log_level)
 
 
 @app.command(epilog=CODES)
