Scheduling: much longer tasks of worse priorities leave room to better ones

Change: scheduling/headroom.py. A queue whose tasks take over six times as long as a better priority's takes only what is free beyond twice the mean of that one's recent demand. Floors that are due and starving steps go first.

--- a/millethead/lab/screen/history.py
+++ b/millethead/lab/screen/history.py
@@ -75,9 +75,8 @@
 
 @dataclass(slots=True)
 class DayCost:
-    """What a day took beside its worth: looks at workers, and core-seconds thrown away."""
+    """What a day took beside its worth: core-seconds thrown away, starts, and how many of them far from their data."""
 
-    looks: int = 0
     wasted: float = 0.0
     starts: int = 0
     far: int = 0
--- /dev/null
+++ b/millethead/scheduling/headroom.py
@@ -0,0 +1,40 @@
+"""Room that queues of worse priorities leave to better ones.
+
+Tasks of a worse priority that fill a service hold its room until they end, and short tasks of a better one that come
+meanwhile wait for that. So a queue of much longer tasks takes only what is free beyond what the work of better
+priorities is expected to take, by what has arrived lately, and does not take yet. A due floor of the queue goes before
+that, and so does a step that starves (`starvation`).
+"""
+
+from __future__ import annotations
+
+from millethead.scheduling.placement import cores
+from millethead.scheduling.state import Flow, Pool, Step
+from millethead.scheduling.tags import Phase
+
+HEADROOM = 2.0  # times the mean of what better priorities take that is left to them: their work comes unevenly
+LONG_TIMES = 6.0  # times as long as the others' tasks a queue's take, for it to leave room: shorter ones end soon
+
+
+def note_arrival(step: Step, tasks: int, now: float) -> None:
+    """Work of a queue has come. Tasks that last have no length, and take no part in this."""
+    if not step.spec.long_running:
+        step.flow.demand.add(tasks * cores(step.spec.needs) * step.spec.estimate_s, now)
+
+
+def note_use(step: Step, runs: int) -> None:
+    """Runs of a step are booked, or released where the number is negative."""
+    if not step.spec.long_running:
+        step.flow.in_use += runs * cores(step.spec.needs)
+
+
+def leaves_room(flow: Flow, pool: Pool, now: float) -> bool:
+    """Whether a queue has to leave the free room to better ones."""
+    kept = sum(
+        max(0.0, HEADROOM * other.demand.rate(now) - other.in_use)
+        for other in pool.flows.values()
+        if other.spec.priority < flow.spec.priority and flow.estimate_s > LONG_TIMES * other.estimate_s
+    )
+    if kept <= 0.0 or pool.tags.rank(flow.name, now)[0] is Phase.LOCAL:
+        return False
+    return cores(pool.hosts.capacity) - cores(pool.hosts.booked) <= kept
--- a/millethead/scheduling/placement.py
+++ b/millethead/scheduling/placement.py
@@ -204,6 +204,11 @@
         """Of all open hosts together."""
         return self._capacity
 
+    @property
+    def booked(self) -> Resources:
+        """On all open hosts together."""
+        return self._booked
+
     @property
     def used_share(self) -> float:
         """The largest part of any kind of resource that is booked on the open hosts together."""
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -22,8 +22,10 @@
 from random import Random
 
 from millethead.execution.messages import RunEnd
+from millethead.scheduling import headroom
 from millethead.scheduling.choosing import FAR_TIMES, Chooser, Chosen, refusal
 from millethead.scheduling.finding import UnitFinder
+from millethead.scheduling.headroom import leaves_room
 from millethead.scheduling.health import Health, RunName
 from millethead.scheduling.looks import SCARCE_GAP_S, service_gap
 from millethead.scheduling.model import (
@@ -244,7 +246,7 @@
         while open_flows:
             for name in pool.tags.order(open_flows, now):
                 flow = pool.flows[name]
-                found = self._finder.first_fitting(flow, now)
+                found = None if leaves_room(flow, pool, now) else self._finder.first_fitting(flow, now)
                 if found is None:
                     open_flows.pop(name, None)
                     continue
@@ -324,6 +326,7 @@
         self._runs[run.name] = run
         step.occupy(index, instance)
         step.runs[run] = None
+        headroom.note_use(step, 1)
         host = self._hosts.get(instance)
         if host is not None:
             self._occupy(host, run)
@@ -339,6 +342,7 @@
         del self._runs[run.name]
         run.step.vacate(run.index, run.instance)
         del run.step.runs[run]
+        headroom.note_use(run.step, -1)
         host = self._hosts.get(run.instance)
         if host is None or run not in host.runs:
             return
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -249,6 +249,8 @@
     spec: QueueSpec
     pool: Pool
     rate: ArrivalRate = field(default_factory=lambda: ArrivalRate(RATE_WINDOW_S, FIRST_RATE))
+    demand: ArrivalRate = field(default_factory=lambda: ArrivalRate(RATE_WINDOW_S))  # core-seconds a second that come
+    in_use: float = 0.0  # cores that its runs take, but for tasks that last
     estimate_s: float = 1.0  # mean of the estimates, moving
     mean_work: float = 0.0  # the same of the work left in a job, core-seconds
     lanes: dict[Shape, Lane] = field(default_factory=dict)
--- a/millethead/scheduling/upkeep.py
+++ b/millethead/scheduling/upkeep.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from millethead.scheduling.headroom import note_arrival
 from millethead.scheduling.reservation import drop_reservation
 from millethead.scheduling.state import Lane, Step
 
@@ -28,6 +29,7 @@
     flow = step.flow
     size = flow.pool.hosts.slots(step.spec.needs) * step.members
     flow.rate.add(size * units, now)
+    note_arrival(step, units * step.members, now)
     tags = flow.pool.tags.queue(flow.name)
     tags.floor, tags.weight = flow.shares(now)
     flow.pool.tags.arrive(flow.name, size, units, now)
