Scheduling: means of a queue rest on its first steps, and demand on the time for which it is known

Cause: found by the test of headroom: a queue's mean estimate began at 1 s and moved by a twentieth a step, so that a queue of few long jobs never counted as long; and a new head took ten seconds to learn what comes. Change: the first twenty steps count alike; the demand is divided by the part of its window that has passed.

--- a/millethead/scheduling/headroom.py
+++ b/millethead/scheduling/headroom.py
@@ -8,17 +8,21 @@
 
 from __future__ import annotations
 
+from math import exp
+
 from millethead.scheduling.placement import cores
-from millethead.scheduling.state import Flow, Pool, Step
+from millethead.scheduling.state import RATE_WINDOW_S, Flow, Pool, Step
 from millethead.scheduling.tags import Phase
 
 HEADROOM = 2.0  # times the mean of what better priorities take that is left to them: their work comes unevenly
+LEAST_KNOWN_S = 2.0  # what came in a shorter time says little of a mean
 LONG_TIMES = 6.0  # times as long as the others' tasks a queue's take, for it to leave room: shorter ones end soon
 
 
 def note_arrival(step: Step, tasks: int, now: float) -> None:
     """Work of a queue has come. Tasks that last have no length, and take no part in this."""
     if not step.spec.long_running:
+        step.flow.demand_since = min(step.flow.demand_since, now)
         step.flow.demand.add(tasks * cores(step.spec.needs) * step.spec.estimate_s, now)
 
 
@@ -28,10 +32,17 @@
         step.flow.in_use += runs * cores(step.spec.needs)
 
 
+def expected_cores(flow: Flow, now: float) -> float:
+    """What the work of a queue takes on average, by what has come within the window; of a queue that is new here, by
+    the shorter time for which it has been known."""
+    known_s = max(LEAST_KNOWN_S, now - flow.demand_since)
+    return flow.demand.rate(now) / (1.0 - exp(-known_s / RATE_WINDOW_S))
+
+
 def leaves_room(flow: Flow, pool: Pool, now: float) -> bool:
     """Whether a queue has to leave the free room to better ones."""
     kept = sum(
-        max(0.0, HEADROOM * other.demand.rate(now) - other.in_use)
+        max(0.0, HEADROOM * expected_cores(other, now) - other.in_use)
         for other in pool.flows.values()
         if other.spec.priority < flow.spec.priority and flow.estimate_s > LONG_TIMES * other.estimate_s
     )
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -24,7 +24,7 @@
 
 HOPELESS_SHARE = 0.8  # part of the chain by estimate without which a step cannot be in time; estimates are rough
 LATE_SHARE = 1.2  # part of the chain by estimate that must fit before the objective: room turns over, runs fail
-ESTIMATE_MOVE = 0.05  # how far the means of a queue move with each step
+ESTIMATE_MOVE = 0.05  # how far the means of a queue move with each step; the first ones count alike
 RATE_WINDOW_S = 10.0  # window in which the arrival of work is measured
 GROWTHS_KEPT = 256
 LARGE_MEMORY_S = 20.0
@@ -250,15 +250,18 @@
     pool: Pool
     rate: ArrivalRate = field(default_factory=lambda: ArrivalRate(RATE_WINDOW_S, FIRST_RATE))
     demand: ArrivalRate = field(default_factory=lambda: ArrivalRate(RATE_WINDOW_S))  # core-seconds a second that come
+    demand_since: float = inf  # when the first of it came
     in_use: float = 0.0  # cores that its runs take, but for tasks that last
     estimate_s: float = 1.0  # mean of the estimates, moving
+    learnt: int = 0  # steps that the means rest on
     mean_work: float = 0.0  # the same of the work left in a job, core-seconds
     lanes: dict[Shape, Lane] = field(default_factory=dict)
     steps: int = 0  # steps known
 
     def learn(self, spec: PendingStep) -> None:
         """A step has come: the means move."""
-        self.estimate_s += ESTIMATE_MOVE * (spec.estimate_s - self.estimate_s)
+        self.learnt += 1
+        self.estimate_s += max(ESTIMATE_MOVE, 1.0 / self.learnt) * (spec.estimate_s - self.estimate_s)
         self.mean_work += ESTIMATE_MOVE * (spec.work_left - self.mean_work) if self.mean_work else spec.work_left
 
     def size_delay(self, work: float) -> float:
