Agent: a noted report says nothing of the reports before it

A report that came while its member was between two epochs as the head was dropped; the next one was taken by the head of the new epoch before the agent was welcomed, and noting it noted the first one too. Its ends were forgotten, its tasks ran again. Change: EndsNoted stands for the one report that it names; the others are repeated after the welcome. test_reports_are_kept_until_noted asserted the fault and is as strict on the mend; a test forces the crossing.

--- a/benchmarks/decisions/paired.py
+++ b/benchmarks/decisions/paired.py
@@ -76,12 +76,12 @@
     @property
     def verdict(self) -> str:
         """What the plays can tell; where that is nothing, how many pairs would be needed for this difference."""
+        if self.pairs < LEAST_PAIRS or not self.spread:
+            return f"cannot tell with {self.pairs} pairs"
         if self.low > 0.0:
             return "better"
         if self.high < 0.0:
             return "worse"
-        if self.pairs < LEAST_PAIRS or not self.mean:
-            return f"cannot tell with {self.pairs} pairs"
         return f"cannot tell with {self.pairs} pairs, about {ceil((Z_95 * self.spread / self.mean) ** 2)} are needed"
 
 
--- a/millethead/execution/messages.py
+++ b/millethead/execution/messages.py
@@ -175,7 +175,8 @@
 @tagged(108)
 @dataclass(frozen=True, slots=True)
 class EndsNoted(Record):
-    """The ends of all reports up to `sequence` are committed: only now `last_seen` may move past them."""
+    """The ends of the report `sequence` are committed: only now `last_seen` may move past them. It says nothing of
+    earlier reports, which may never have come."""
 
     instance: str
     sequence: U64
--- a/millethead/execution/reports.py
+++ b/millethead/execution/reports.py
@@ -55,8 +55,9 @@
         return numbered
 
     def note(self, instance: str, sequence: int) -> tuple[EndEntry, ...]:
-        """Drop the life's reports up to `sequence`; returns the ends that are noted thereby."""
-        noted = [report for report in self._open if report.instance == instance and report.sequence <= sequence]
+        """Drop the life's report of this sequence; returns the ends that are noted thereby. It says nothing of those
+        before: one may have come while its member was not the head, and the next one to the head of a new epoch."""
+        noted = [report for report in self._open if report.instance == instance and report.sequence == sequence]
         self._open = [report for report in self._open if report not in noted]
         return tuple(end for report in noted for end in report.ends)
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -229,7 +229,8 @@
     first = book.add(RunReport("i-1", 0, (RunKey("s", 1),), (end,), ()))
     book.add(RunReport("i-2", 0, (), (end,), ()))
     assert first.sequence == 1 and first.started
-    assert book.note("i-1", 9) == (end,)
+    assert book.note("i-1", 9) == ()
+    assert book.note("i-1", 1) == (end,)
     assert [report.instance for report in book.open] == ["i-2"]
 
 
@@ -649,6 +650,30 @@
     assert desk.records(WorkerSuspected)
 
 
+def test_a_noted_report_says_nothing_of_the_one_before(desk: Desk) -> None:
+    """The one before was dropped, as its member was between two epochs, and the next one was taken by the same member
+    as the head of the new epoch, before this agent was welcomed: its ends were forgotten, and its tasks ran twice."""
+    desk.want(order("a.0.0.0"), order("b.0.0.0"))
+    for start in [call for call in desk.calls if isinstance(call, StartCall)]:
+        desk.answer(start)
+    first = EndEntry(1, RunKey("a.0.0.0", 1), RunEnd.DONE, "")
+    running = (RunProgress(RunKey("b.0.0.0", 1), "", 1),)
+    desk.answer(desk.only(HoldCall), running=running, ends=(first,))
+    desk.pass_time(0.3)
+    second = EndEntry(2, RunKey("b.0.0.0", 1), RunEnd.DONE, "")
+    desk.answer(desk.only(HoldCall), ends=(first, second))
+    lost, taken = [record for record in desk.records(RunReport) if isinstance(record, RunReport) and record.ends]
+    desk.sent.clear()
+    desk.receive(EndsNoted("i-1", taken.sequence))
+    life = desk.agent.life
+    assert life is not None and life.last_seen.number == 0
+    desk.welcome(8)
+    repeated = [record for record in desk.records(RunReport) if isinstance(record, RunReport) and record.ends]
+    assert [report.ends[0].key.task for report in repeated] == ["a.0.0.0"]
+    desk.receive(EndsNoted("i-1", lost.sequence))
+    assert life.last_seen.number == 2
+
+
 def test_ends_are_reported_once_in_a_session_and_again_in_the_next(desk: Desk) -> None:
     desk.want(order("a.0.0.0"), order("b.0.0.0"))
     for call in list(desk.calls):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -47,8 +47,9 @@
 
 
 def test_one_pair_tells_nothing() -> None:
-    assert paired.difference([0.1]).pairs == 1
-    assert "cannot tell" in paired.difference([0.0, 0.0]).verdict
+    assert "cannot tell" in paired.difference([0.1]).verdict
+    assert "cannot tell" in paired.difference([0.1, 0.2]).verdict
+    assert "cannot tell" in paired.difference([0.0, 0.0, 0.0]).verdict
 
 
 def row(version: str, seed: str, worth: float, broken: str = "") -> object:
