--- a/millethead/lab/core_absence.py
+++ b/millethead/lab/core_absence.py
@@ -16,7 +16,7 @@
 from millethead.lab.core_machine import Machine
 from millethead.lab.core_oracle import OK, Violation
 from millethead.lab.core_world import CoreWorld, WorldSettings
-from millethead.replication.chain import Role
+from millethead.replication.chain_ports import Role
 
 AWAY_AT_S = 1.5  # by then a first head serves
 LOAD_GAP_S = 0.004  # between looks whether the next change may go
--- a/millethead/lab/core_mutants.py
+++ b/millethead/lab/core_mutants.py
@@ -19,8 +19,9 @@
 from millethead.lab.disk import SimulatedDisk
 from millethead.replication import planning
 from millethead.replication.agreement import ViewRegister
-from millethead.replication.chain import Chain, Role
-from millethead.replication.messages import ChainBarrier, PaxosMessage
+from millethead.replication.chain import Chain
+from millethead.replication.chain_ports import Role
+from millethead.replication.messages import PaxosMessage
 from millethead.replication.replica import ReplicaSettings
 from millethead.replication.view import View
 from millethead.rollout.register import Round
@@ -258,8 +259,8 @@
             return
         if self._successor is None:
             self._barrier_back(number)
-        elif self._down is not None and self._down_synced:
-            self._down.send(ChainBarrier(self.epoch, number))
+        elif self._down is not None:
+            self._down.pass_barrier(number)
 
     with mock.patch.object(Chain, "_pass_barrier", pass_barrier):
         yield
--- a/millethead/lab/core_world.py
+++ b/millethead/lab/core_world.py
@@ -22,7 +22,7 @@
 from millethead.lab.core_time import Timeline
 from millethead.lab.core_troubles import USUAL_LOSS, Troubles
 from millethead.lab.streamed import UncommittedConfiguration
-from millethead.replication.chain import Role
+from millethead.replication.chain_ports import Role
 from millethead.replication.replica import ReplicaSettings
 from millethead.replication.view import Member, View
 from millethead.storage.log import LOG_NAME, Entry
--- a/millethead/programs/control.py
+++ b/millethead/programs/control.py
@@ -29,7 +29,7 @@
 from millethead.programs.loop_ports import DatagramReceiver, LoopClock
 from millethead.programs.operator_api import operator_app
 from millethead.programs.signals import on_signals
-from millethead.replication.chain import Role
+from millethead.replication.chain_ports import Role
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import ChainHello
 from millethead.replication.replica import Replica, ReplicaSettings
--- a/millethead/programs/disk_maintenance.py
+++ b/millethead/programs/disk_maintenance.py
@@ -9,7 +9,8 @@
 
 import structlog
 
-from millethead.replication.chain import Chain, Role
+from millethead.replication.chain import Chain
+from millethead.replication.chain_ports import Role
 from millethead.storage.log import Snapshot
 from millethead.storage.scrubber import Scrubber
 
--- a/millethead/replication/chain.py
+++ b/millethead/replication/chain.py
@@ -10,11 +10,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
-from enum import Enum
-from typing import Protocol
+from collections.abc import Sequence
 
-from millethead.replication.copying import PART_BYTES, IncomingSnapshot, OutgoingSnapshot
+from millethead.replication.chain_ports import ChainPorts, Link, Role
+from millethead.replication.copying import PART_BYTES, IncomingSnapshot
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import (
     BarrierAck,
@@ -27,59 +26,12 @@
     ChainSnapshotPart,
     ChainTruncate,
     LogEntry,
-    SnapshotProgress,
 )
+from millethead.replication.successor import SuccessorLink
 from millethead.replication.view import ChainMember, Member, View
 from millethead.rpc.codec import Record
 from millethead.storage.log import Entry, Snapshot
 
-COPY_BATCH, COPY_BYTES = 256, 1 << 20  # entries and bytes in one record, about, while a log is copied
-
-
-class Link(Protocol):
-    """An ordered stream to another member; it may end at any time."""
-
-    def send(self, record: Record) -> None: ...
-
-    def close(self) -> None: ...
-
-
-class ChainPorts(Protocol):
-    """What the chain needs of its surroundings."""
-
-    def append(self, entries: Sequence[Entry], durable: Callable[[], None]) -> None: ...
-
-    def truncate(self, sequence: int) -> None: ...
-
-    def install(self, snapshot: Snapshot, durable: Callable[[], None]) -> None: ...
-
-    def soon(self, call: Callable[[], None]) -> None:
-        """Call `call` in a later turn of the loop."""
-        ...
-
-    def open_link(self, address: str) -> None:
-        """Open a link to the successor; ends in `Chain.link_opened` or `Chain.link_lost(None)`."""
-        ...
-
-    def committed(self, sequence: int) -> None:
-        """At the head: everything up to `sequence` is committed."""
-        ...
-
-    def barrier_passed(self, number: int) -> None:
-        """At the head: every member was still in the epoch when barrier `number` passed it."""
-        ...
-
-    def synced_to_head(self) -> None:
-        """This member now holds what its predecessor holds."""
-        ...
-
-
-class Role(Enum):
-    OUTSIDE = "outside"  # no place in the chain, or an earlier process of this member has it
-    WAITING = "waiting"  # has a place; not yet reconciled with its predecessor
-    FOLLOWING = "following"
-    HEAD = "head"
-
 
 class Chain:
     """This member's place in the chain of the view that it has adopted."""
@@ -97,13 +49,10 @@
         self._successor: ChainMember | None = None
         self._predecessor: ChainMember | None = None
         self._up: Link | None = None
-        self._down: Link | None = None
-        self._down_synced = False
-        self._down_acked = 0
+        self._down: SuccessorLink | None = None
         self._view = View(0, (), ())
         self._generation = 0
         self._part_bytes = part_bytes
-        self._outgoing: OutgoingSnapshot | None = None  # under way to the successor
         self._incoming: IncomingSnapshot | None = None  # not yet whole
 
     # ---- the view ----------------------------------------------------------------------------------------
@@ -139,11 +88,10 @@
     def _drop_links(self) -> None:
         up, down = self._up, self._down
         self._up = self._down = None
-        self._down_synced, self._down_acked = False, 0
-        self._outgoing = None
-        for link in (up, down):
-            if link is not None:
-                link.close()
+        if up is not None:
+            up.close()
+        if down is not None:
+            down.link.close()
 
     @property
     def successor(self) -> ChainMember | None:
@@ -152,12 +100,12 @@
     @property
     def linked_down(self) -> bool:
         """Whether the successor is reconciled, or there is none."""
-        return self._successor is None or self._down_synced
+        return self._successor is None or (self._down is not None and self._down.synced)
 
     @property
     def copying(self) -> bool:
         """The snapshot is on its way to the successor: it and the entries after it are still needed."""
-        return self._outgoing is not None
+        return self._down is not None and self._down.copying
 
     # ---- the head ----------------------------------------------------------------------------------------
 
@@ -175,8 +123,8 @@
         self.barrier += 1
         if self._successor is None:
             self._barrier_back(self.barrier)
-        elif self._down is not None and self._down_synced:
-            self._down.send(ChainBarrier(self.epoch, self.barrier))
+        elif self._down is not None:
+            self._down.pass_barrier(self.barrier)
         return self.barrier
 
     def _barrier_back(self, number: int) -> None:
@@ -198,13 +146,13 @@
                 self._acknowledge()
 
         self._ports.append(entries, durable)
-        if self._down is not None and self._down_synced:
-            self._down.send(ChainAppend(self.epoch, _wire(entries)))
+        if self._down is not None:
+            self._down.pass_entries(entries)
 
     def _acknowledge(self) -> None:
         sequence = self.durable
         if self._successor is not None:
-            sequence = min(sequence, self._down_acked)
+            sequence = min(sequence, self._down.acked if self._down is not None else 0)
         if self.role is Role.HEAD:
             if sequence > self.committed:
                 self.committed = sequence
@@ -224,21 +172,25 @@
         ):
             link.close()
             return
-        self._down, self._down_synced, self._down_acked = link, False, 0
-        link.send(ChainHello(self._view, self.me))
+        self._down = SuccessorLink(link, self.epoch, self.log, self._part_bytes)
+        self._down.greet(self._view, self.me)
 
     def neighbour_of(self, link: Link) -> ChainMember | None:
         """The neighbour at the other end of a link; None for one that is not in use."""
         if link is self._up:
             return self._predecessor
-        return self.successor if link is self._down else None
+        return self.successor if self._is_down(link) else None
+
+    def _is_down(self, link: Link) -> bool:
+        """Whether it is the link to the successor."""
+        return self._down is not None and link is self._down.link
 
     def link_lost(self, link: Link) -> bool:
         """A link has ended; returns whether the one to the successor has to be opened again."""
         if link is self._up:
             self._up = None
-        elif link is self._down:
-            self._down, self._down_synced, self._outgoing = None, False, None
+        elif self._is_down(link):
+            self._down = None
             return self.role in (Role.HEAD, Role.FOLLOWING)
         return False
 
@@ -332,8 +284,8 @@
             self._become(Role.FOLLOWING)
             self._ports.synced_to_head()
         elif changed and self._down is not None:  # what was passed on is void as well
-            down, self._down, self._down_synced, self._outgoing = self._down, None, False, None
-            down.close()
+            down, self._down = self._down, None
+            down.link.close()
             assert self._successor is not None
             self._ports.open_link(self._successor.member.address)
         self._sync_kept()
@@ -366,66 +318,28 @@
         self.barrier = max(self.barrier, number)
         if self._successor is None or number <= self.barrier_passed:  # the answer was lost with an earlier link
             self._barrier_back(number)
-        elif self._down is not None and self._down_synced:
-            self._down.send(ChainBarrier(self.epoch, number))
+        elif self._down is not None:
+            self._down.pass_barrier(number)
 
     def from_below(self, link: Link, record: Record) -> None:
         """A record from the successor."""
-        if link is not self._down:
+        down = self._down
+        if down is None or link is not down.link:
             return
         match record:
             case ChainPosition(epoch=epoch) if epoch == self.epoch:
-                self._reconcile(record)
+                if down.reconcile(record):
+                    self._repeat_barrier(down)
             case ChainSnapshotAck(epoch=epoch, progress=progress) if epoch == self.epoch:
-                self._copy_further(progress)
+                if down.copy_further(progress):
+                    self._repeat_barrier(down)
             case ChainAck(epoch=epoch, sequence=sequence) if epoch == self.epoch:
-                self._down_acked = max(self._down_acked, sequence)
+                down.acknowledged(sequence)
                 self._acknowledge()
             case BarrierAck(epoch=epoch, number=number) if epoch == self.epoch:
                 self._barrier_back(number)
 
-    def _reconcile(self, position: ChainPosition) -> None:
-        """Bring the successor's log to this one."""
-        assert self._down is not None
-        link, point = self._down, self.log.common_point(position.base, position.spans)
-        if point is None:
-            self._outgoing = OutgoingSnapshot(self.epoch, self.log.base, position.partial, link.send, self._part_bytes)
-            self._copy_further(None)
-            return
-        link.send(ChainTruncate(self.epoch, point))
-        self._send_after(link, point)
-
-    def _copy_further(self, progress: SnapshotProgress | None) -> None:
-        """The successor has taken parts of the snapshot; the entries follow the last one."""
-        outgoing, link = self._outgoing, self._down
-        if outgoing is None or link is None:
-            return
-        if progress is not None:
-            outgoing.acknowledged(progress)
-        if outgoing.sent:
-            self._outgoing = None
-            self._send_after(link, outgoing.snapshot.sequence)
-
-    def _send_after(self, link: Link, point: int) -> None:
-        """Send all entries above `point`; from then on the successor gets each as it comes."""
-        for batch in _batches(self.log.after(point)):
-            link.send(ChainAppend(self.epoch, _wire(batch)))
-        self._down_synced = True
-        if self.barrier > self.barrier_passed:  # it was lost with an earlier link
-            link.send(ChainBarrier(self.epoch, self.barrier))
-
-
-def _batches(entries: Sequence[Entry]) -> Iterator[Sequence[Entry]]:
-    """Entries by the record, each of at most COPY_BATCH, and no more once it has COPY_BYTES."""
-    first = size = 0
-    for at, entry in enumerate(entries):
-        if at - first == COPY_BATCH or size >= COPY_BYTES:
-            yield entries[first:at]
-            first, size = at, 0
-        size += len(entry.payload)
-    if first < len(entries):
-        yield entries[first:]
-
-
-def _wire(entries: Sequence[Entry]) -> tuple[LogEntry, ...]:
-    return tuple(LogEntry(entry.epoch, entry.sequence, entry.payload) for entry in entries)
+    def _repeat_barrier(self, down: SuccessorLink) -> None:
+        """The successor has just been reconciled: a barrier that was lost with an earlier link goes again."""
+        if self.barrier > self.barrier_passed:
+            down.pass_barrier(self.barrier)
--- a/millethead/replication/replica.py
+++ b/millethead/replication/replica.py
@@ -12,7 +12,8 @@
 from typing import Protocol
 
 from millethead.replication.agreement import AgreementPorts, ViewRegister
-from millethead.replication.chain import Chain, ChainPorts, Link, Role
+from millethead.replication.chain import Chain
+from millethead.replication.chain_ports import ChainPorts, Link, Role
 from millethead.replication.copying import PART_BYTES
 from millethead.replication.liveness import Liveness
 from millethead.replication.log import ReplicatedLog
--- a/tests/test_large_state.py
+++ b/tests/test_large_state.py
@@ -19,7 +19,8 @@
 from millethead.jobs.snapshot import LAST_JOBS, SLICE_JOBS, TableEncoder, encode_table, restore_table
 from millethead.jobs.state import JobPhase, JobTable
 from millethead.replication import log as log_module
-from millethead.replication.chain import COPY_BYTES, Chain, Role
+from millethead.replication.chain import Chain
+from millethead.replication.chain_ports import Role
 from millethead.replication.copying import WINDOW_PARTS
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import (
@@ -33,6 +34,7 @@
     SnapshotName,
     SnapshotProgress,
 )
+from millethead.replication.successor import COPY_BYTES
 from millethead.rpc.codec import encode_any
 from millethead.storage.log import Entry, LogFile, Recovered, Snapshot
 from millethead.storage.records import MAX_RECORD
@@ -208,7 +210,7 @@
     def open(self) -> None:
         """A new link."""
         self.down, self.up = Link(), Link()
-        self.head.chain.link_lost(self.head.chain._down) if self.head.chain._down else None
+        self.head.chain.link_lost(self.head.chain._down.link) if self.head.chain._down else None
         self.head.chain.link_opened(self.down, MIDDLE.address)
         assert self.tail.hello(self.up, ChainHello(VIEW, HEAD))
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,7 +8,7 @@
 
 from millethead.lab.core_machine import CoreProcess
 from millethead.lab.core_world import CoreWorld, WorldSettings
-from millethead.replication.chain import Role
+from millethead.replication.chain_ports import Role
 from millethead.replication.liveness import Liveness
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import Heard, Heartbeat
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -14,7 +14,8 @@
 from millethead.lab.core_mutants import MUTANTS
 from millethead.lab.core_world import CoreWorld, WorldSettings, play
 from millethead.programs.core_disk import CoreDisk
-from millethead.replication.chain import Chain, Role
+from millethead.replication.chain import Chain
+from millethead.replication.chain_ports import Role
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import (
     BarrierAck,
--- a/tests/test_scrubbing.py
+++ b/tests/test_scrubbing.py
@@ -17,7 +17,7 @@
 from millethead.programs import disk_maintenance
 from millethead.programs.core_disk import CoreDisk
 from millethead.programs.disk_maintenance import DiskMaintenance
-from millethead.replication.chain import Role
+from millethead.replication.chain_ports import Role
 from millethead.rollout.register import Kept
 from millethead.rollout.store import PLACE, Store
 from millethead.storage import scrubber
