--- a/millethead/rollout/calls.py
+++ b/millethead/rollout/calls.py
@@ -15,8 +15,10 @@
 from millethead.net.accept import Reply
 from millethead.net.parse import Request
 from millethead.rollout import state as agreed
+from millethead.rollout.agreement import TRY, NoMajority
 from millethead.rollout.register import Refused
-from millethead.rollout.shell import TRY, NoMajority, Rollout
+from millethead.rollout.report import fleet_page
+from millethead.rollout.shell import Rollout
 from millethead.rollout.state import DISPATCHERS, MOST_NAMED, Health, Release, State
 from millethead.tables import Table, read_table
 
@@ -98,7 +100,7 @@
         self.rollout = rollout
 
     async def page(self, request: Request) -> Reply:
-        return json_reply(200, self.rollout.page())
+        return json_reply(200, fleet_page(self.rollout))
 
     async def post(self, do: Callable[[Any], Awaitable[State]], request: Request) -> Reply:
         """409: the fleet says no; 503: no majority; 400 and 404: the call cannot be meant."""
@@ -116,7 +118,7 @@
             return _no(409, str(why))
         except NoMajority as why:
             return _no(503, str(why))
-        return json_reply(200, {"agreed": True, "rev": state.rev, **self.rollout.page()})
+        return json_reply(200, {"agreed": True, "rev": state.rev, **fleet_page(self.rollout)})
 
     # ---- the calls ---------------------------------------------------------------------------------------
 
