--- a/millethead/waiting/ageing.py
+++ b/millethead/waiting/ageing.py
@@ -10,15 +10,12 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 from math import inf
-from typing import TYPE_CHECKING
 
 from millethead.decide.interface import Effect, JobClass, Tenant
 from millethead.exchange.model import Answer, Final, Order
 from millethead.exchange.records import Record
-
-if TYPE_CHECKING:
-    from millethead.waiting.book import Entry
-    from millethead.waiting.setup import WaitingSetup
+from millethead.waiting.entry import Entry
+from millethead.waiting.setup import WaitingSetup
 
 WEIGHT = 0.1  # of the aged flow in what the reservations leave over: the floor is what it is for
 LEAST = 100.0  # ms before its bound from which a job is not worth another offer
--- a/millethead/waiting/book.py
+++ b/millethead/waiting/book.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator, Sequence
-from dataclasses import dataclass, replace
-from enum import Enum
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import replace
 from math import inf
 
 from millethead.decide.interface import JobClass
@@ -19,6 +18,8 @@
 from millethead.exchange.stage import Amendment, Reply, Unusable
 from millethead.waiting.ageing import MARGIN, Bounds, Line
 from millethead.waiting.calendar import Calendar
+from millethead.waiting.dependencies import Dependencies
+from millethead.waiting.entry import Close, Effect, Entry, Full, Known, Offer, State, Why
 from millethead.waiting.setup import WaitingSetup
 
 LATE = 1500.0  # ms by which a set time may be noticed late (a bucket, a look, a crowd): its job's bound counts them
@@ -27,74 +28,6 @@
 PUMP = 10.0  # ms between two looks at lines whose offers all wait for a worker
 
 
-class State(Enum):
-    SCHEDULED = "scheduled"  # its time has not come
-    WAITING = "waiting"  # a parent has not ended
-    DUE = "due"  # it could run, and waits to be offered for the first time
-    AGED = "aged"  # refused before, it waits to be offered again
-    INSIDE = "inside"  # the next stage has it
-    ENDED = "ended"
-
-
-class Why(Enum):
-    """Why a job ended here and not at a worker."""
-
-    PARENT = "parent_failed"
-    BOUND = "bound"
-    LEAVING = "stopping"
-    FULL = "full"
-    WITHDRAWN = "withdrawn"
-
-
-class Full(Exception):
-    """A cap is reached: the job is refused at once, and nothing else is disturbed."""
-
-
-@dataclass(slots=True, eq=False)
-class Entry:
-    """One job that owes its final answer. `end`: when it is owed, inf while that is not known."""
-
-    number: int
-    order: Order
-    reply: Reply | None
-    came: float
-    end: float = inf
-    due: float = -1.0  # when it became due
-    state: State = State.INSIDE
-    kept: bool = False  # counted in the caps
-    offers: int = 0
-    inner: int = 0  # its number in the next stage
-    offered_at: float = 0.0
-    record: Record | None = None  # what the next stage knows of it, while it is inside
-    parents: dict[int, Entry] | None = None  # those that have not ended
-    children: dict[int, Entry] | None = None
-
-    @property
-    def offered(self) -> bool:
-        return self.state is State.INSIDE
-
-
-@dataclass(slots=True, frozen=True)
-class Offer:
-    """Hand this order to the next stage."""
-
-    entry: Entry
-    order: Order
-
-
-@dataclass(slots=True, frozen=True)
-class Close:
-    """Give the final answer (None: it was withdrawn). No `why`: the next stage ended it, and has logged that."""
-
-    entry: Entry
-    answer: Answer | None
-    why: Why | None
-
-
-Effect = Offer | Close
-Known = Callable[[str, str], Record | None]
-
-
 class Book:
     """`aged` is the module's flow for aged jobs; None: they wait on in their tenant's (for comparison only)."""
 
@@ -104,10 +37,11 @@
         self.setup, self.classes, self.aged, self.bounds = setup, classes, aged, Bounds(setup, names)
         self.entries: dict[int, Entry] = {}
         self.leaving = False
-        self.kept = self.bytes = self.edges = 0
+        self.kept = self.bytes = 0
         self.returned = 0  # how often a refused job went back to wait
         self.counts = dict.fromkeys(State, 0)
         self._ids: dict[str, dict[str, Entry]] = {}
+        self._dependencies = Dependencies()
         self._numbers = 0
         self._now = 0.0
         self._times = Calendar(early=False)
@@ -122,6 +56,11 @@
         """The job of this id that owes its answer."""
         return self._ids.get(origin, {}).get(job_id)
 
+    @property
+    def edges(self) -> int:
+        """Jobs waited for, once for each that waits."""
+        return self._dependencies.edges
+
     def take_effects(self) -> list[Effect]:
         effects, self._effects = self._effects, []
         return effects
@@ -174,12 +113,7 @@
             self._close(entry, Answer(Final.FAILED), Why.PARENT)
             return entry
         if parents:
-            entry.parents = parents
-            self.edges += len(parents)
-            for live in parents.values():
-                if live.children is None:
-                    live.children = {}
-                live.children[entry.number] = entry
+            self._dependencies.link(entry, parents)
         if plan.at > wall:
             self._to(entry, State.SCHEDULED)
             self._times.add(plan.at, entry.number)
@@ -427,12 +361,7 @@
         if entry.kept:
             self.kept -= 1
             self.bytes -= len(order.body)
-        if entry.parents:
-            for parent in entry.parents.values():
-                if parent.children is not None:
-                    parent.children.pop(entry.number, None)
-            self.edges -= len(entry.parents)
-            entry.parents = None
+        self._dependencies.unlink(entry)
         if entry.children:
             served = answer is not None and answer.final is Final.SERVED
             self._chores.append(self._tell_children(entry, entry.children, served))
@@ -440,11 +369,8 @@
         self._effects.append(Close(entry, answer, why))
 
     def _tell_children(self, parent: Entry, children: dict[int, Entry], served: bool) -> Iterator[None]:
-        # a child that is named here is nobody else's any more: it drops out of this map when it ends itself
-        for child in list(children.values()):
-            if child.state is not State.ENDED and child.parents is not None:
-                del child.parents[parent.number]
-                self.edges -= 1
+        for child in self._dependencies.release(parent, children):
+            if child is not None:
                 plan = child.order.plan
                 if not served and not (plan is not None and plan.any_end):
                     self._close(child, Answer(Final.FAILED), Why.PARENT)
--- a/millethead/waiting/room.py
+++ b/millethead/waiting/room.py
@@ -21,7 +21,8 @@
 from millethead.exchange.stage import Amendment, Finished, Reply, Stage, Unusable, repeated
 from millethead.logs import Sparing
 from millethead.waiting.batch import in_order
-from millethead.waiting.book import Book, Close, Entry, Full, Offer, State, Why
+from millethead.waiting.book import Book
+from millethead.waiting.entry import Close, Entry, Full, Offer, State, Why
 from millethead.waiting.heap import Heap
 from millethead.waiting.setup import WaitingSetup
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -9,8 +9,9 @@
 from millethead.exchange.stage import Amendment, Unusable
 from millethead.lab.clock import VirtualClock
 from millethead.waiting.ageing import MARGIN, aged_flow
-from millethead.waiting.book import CHEAP, State
+from millethead.waiting.book import CHEAP
 from millethead.waiting.calendar import WIDTH, Calendar
+from millethead.waiting.entry import State
 from millethead.waiting.room import WaitingRoom
 from millethead.waiting.setup import ClassBound, WaitingSetup
 
