--- a/millethead/exchange/carry.py
+++ b/millethead/exchange/carry.py
@@ -9,7 +9,8 @@
 
 from millethead.decide import carry
 from millethead.decide.interface import NEVER_RAN, Outcome, WorkerState
-from millethead.exchange.core import OVERDUE, Exchange, _Held
+from millethead.exchange.core import OVERDUE, Exchange
+from millethead.exchange.held import HeldJob
 from millethead.exchange.model import Attempt, Listed, Order, ServerSide, Worker
 from millethead.exchange.records import Record
 from millethead.exchange.stage import Reply
@@ -28,7 +29,7 @@
 def release(exchange: Exchange, side: MovingSide, number: int) -> tuple[dict[str, Any], bytes] | None:
     """Drop a job here and return what its new owner needs. None if it cannot go (now): it has ended, or an attempt
     is just being written or not yet confirmed. Its client is owed the answer by the other process from now on."""
-    held = exchange._jobs.get(number)
+    held = exchange.jobs.get(number)
     if held is None or held.closed:
         return None
     out = [attempt for attempt in held.attempts if attempt.outcome is None]
@@ -53,8 +54,8 @@
     if held.timer is not None:
         held.timer.cancel()
     held.closed, held.reply, held.out = True, None, 0
-    del exchange._held_ids[held.order.origin, held.order.id]
-    exchange._forget(held)
+    exchange.jobs.handed_over(held)
+    exchange.jobs.forget(held)
     exchange._empty()
     return said, held.order.body
 
@@ -65,13 +66,12 @@
     """Take in a job that the process before this one has dropped; returns its number here. `reply` as in `arrive`."""
     now = exchange.clock.now()
     order = Order(**said["order"], body=body, peer=peer)
-    exchange._numbers += 1
-    number = exchange._numbers
+    number = exchange.jobs.next_number()
     end = min(float(said["came"]) + order.left, exchange.ends)
     record = Record(
         now, may_have_run=bool(said["may_have_run"]), came=float(said["came"]), attempts=len(said["attempts"])
     )
-    held = _Held(number, order, reply, end, record.came, record)
+    held = HeldJob(number, order, reply, end, record.came, record)
     for n, (name, sent, until, earlier, whole, outcome) in enumerate(said["attempts"]):
         worker = exchange.worker(name) or Worker(crc32(name.encode()), Listed(name, state=WorkerState.GONE), side)
         attempt = Attempt(
@@ -92,9 +92,8 @@
             side.take_over(attempt)
         elif attempt.outcome not in NEVER_RAN:
             record.may_have_run = True
-    exchange._jobs[number] = exchange._held_ids[order.origin, order.id] = held
-    exchange._bodies += len(body)
+    exchange.jobs.add(held)
     held.timer = exchange.clock.later(end - now + OVERDUE, partial(exchange._overdue, held))
     module = {**said["module"], "end": end}  # the other process may have cut it short for its own end
-    exchange._step("adopt", lambda at: carry.adopt(exchange._module, number, module, at))
+    exchange._queue.put("adopt", lambda at: carry.adopt(exchange._module, number, module, at))
     return number
--- a/millethead/exchange/core.py
+++ b/millethead/exchange/core.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -17,10 +16,10 @@
 
 from millethead.decide import interface as api
 from millethead.decide.balance import Balancer
+from millethead.exchange.held import HELD, HeldJob, HeldJobs
 from millethead.exchange.model import (
     Answer,
     Attempt,
-    Cancellable,
     Clock,
     Final,
     Listed,
@@ -29,32 +28,17 @@
     ServerSide,
     Worker,
 )
-from millethead.exchange.records import WITHDRAWN, Record, Records
+from millethead.exchange.module_queue import ModuleQueue
+from millethead.exchange.records import WITHDRAWN, Record
 from millethead.exchange.stage import Amendment, Finished, Reply, Unusable, no_plan, one_by_one, repeated
 from millethead.exchange.tally import Tally
 from millethead.exchange.workers import Nowhere, WorkerTable
 
-HELD = 4096  # jobs held at once, with those whose attempts are still out
-BODIES = 32 << 20  # bytes of all bodies held
 OVERDUE = 8.0  # ms past the deadline after which the exchange answers without waiting for the module
 
 log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class _Held:
-    number: int
-    order: Order
-    reply: Reply | None
-    end: float
-    came: float
-    record: Record
-    attempts: list[Attempt] = field(default_factory=list)
-    out: int = 0
-    closed: bool = False
-    timer: Cancellable | None = None
-
-
 class Exchange:
     """The last stage. `flows` are put behind those of the tenants, for stages that hold jobs back (`Order.flow`
     counts from 0 through both)."""
@@ -69,13 +53,8 @@
         self.most = HELD  # jobs that owe their answer at once
         self.ends = float("inf")
         self._module = Balancer(self._with_flows(settings), seed)
-        self._steps: deque[tuple[str, Callable[[float], list[api.Action]]]] = deque()
-        self._busy = False
-        self._jobs: dict[int, _Held] = {}
-        self._numbers = 0
-        self._bodies = 0
-        self._records = Records()
-        self._held_ids: dict[tuple[str, str], _Held] = {}
+        self._queue = ModuleQueue(clock, self._act)
+        self.jobs = HeldJobs()
         self._workers = WorkerTable()
         self.on_attempt: Callable[[Attempt, api.Outcome, float], None] | None = None  # told of each end, with its ms
         self.on_probe: Callable[[str, api.Outcome], None] | None = None
@@ -91,35 +70,32 @@
     @property
     def held(self) -> int:
         """Jobs that still owe their final answer."""
-        return len(self._held_ids)
+        return self.jobs.owing
 
     def record(self, origin: str, job_id: str) -> Record | None:
         """What is known of a job by its id: held (no answer yet), or ended not long ago."""
-        held = self._held_ids.get((origin, job_id))
-        return held.record if held is not None else self._records.get((origin, job_id))
+        return self.jobs.record(origin, job_id)
 
     def counts(self) -> dict[str, int]:
         return {}
 
     def arrive(self, order: Order, reply: Reply) -> int:
         """Take a job in; `reply` is called once with its final answer unless it is withdrawn first."""
-        now, name = self.clock.now(), (order.origin, order.id)
+        now = self.clock.now()
         no_plan(order, now)
-        known = self.record(*name)
+        known = self.record(order.origin, order.id)
         if known is not None and not self._offered_again(order, known):
             self.tally.final(order.job_class, Final.FAILED)
             return repeated(order, reply)
-        if self.closing or len(self._jobs) >= HELD or self.held >= self.most or self._bodies + len(order.body) > BODIES:
-            log.warning("job_not_taken", job=order.id, closing=self.closing, held=len(self._jobs))
+        if self.closing or not self.jobs.has_room(order, self.most):
+            log.warning("job_not_taken", job=order.id, closing=self.closing, held=len(self.jobs.by_number))
             self.tally.final(order.job_class, Final.REFUSED)
             reply(Answer(Final.REFUSED))
             return 0
-        self._numbers += 1
-        number = self._numbers
+        number = self.jobs.next_number()
         end = min(now + order.left, self.ends)
-        held = _Held(number, order, reply, end, now, Record(now, came=now))
-        self._jobs[number] = self._held_ids[name] = held
-        self._bodies += len(order.body)
+        held = HeldJob(number, order, reply, end, now, Record(now, came=now))
+        self.jobs.add(held)
         held.timer = self.clock.later(end - now + OVERDUE, lambda: self._overdue(held))
         self._feed(
             api.JobArrived(
@@ -150,7 +126,7 @@
 
     def withdraw(self, number: int) -> None:
         """The client is gone: nothing more is owed."""
-        held = self._jobs.get(number)
+        held = self.jobs.get(number)
         if held is not None and not held.closed:
             log.info("job_withdrawn", job=held.order.id)
             self._close(held, None)
@@ -158,7 +134,7 @@
                 if not attempt.whole:  # nothing has begun: to drop it needs nobody's leave
                     self._give_up(attempt, api.Outcome.NEVER_SENT)
             self._feed(api.JobWithdrawn(number))
-            self._forget(held)
+            self.jobs.forget(held)
 
     def reconfigure(self, settings: api.Settings) -> None:
         """New figures for the same classes and tenants; what is held keeps the deadline it came with."""
@@ -183,7 +159,7 @@
         if left is None:
             return
         self.leaving, self.ends = True, self.clock.now() + left
-        for held in self._jobs.values():
+        for held in self.jobs:
             if not held.closed and held.end > self.ends:
                 held.end = self.ends
                 if held.timer is not None:
@@ -255,7 +231,7 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None
-        held = self._jobs[attempt.job]
+        held = self.jobs.by_number[attempt.job]
         held.out -= 1
         if outcome not in api.NEVER_RAN:
             held.record.may_have_run = True
@@ -277,7 +253,7 @@
                 attempt.job, attempt.number, attempt.worker.number, outcome, elapsed, held.closed, report, unusable
             )
         )
-        self._forget(held)
+        self.jobs.forget(held)
 
     def written(self, attempt: Attempt) -> None:
         """The last byte of an attempt was written: it may run from now on."""
@@ -299,26 +275,7 @@
     # ---- the module's events and actions -----------------------------------------------------------
 
     def _feed(self, event: api.Event) -> None:
-        self._step(type(event).__name__, lambda now: self._module.handle(now, event))
-
-    def _step(self, what: str, step: Callable[[float], list[api.Action]]) -> None:
-        # an action may end an attempt on the spot: such events wait until the actions before them are done
-        self._steps.append((what, step))
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._steps:
-                what, step = self._steps.popleft()
-                try:
-                    actions = step(self.clock.now())
-                except Exception:
-                    log.exception("module_failed", event_type=what)
-                    continue
-                for action in actions:
-                    self._act(action)
-        finally:
-            self._busy = False
+        self._queue.put(type(event).__name__, lambda now: self._module.handle(now, event))
 
     def _act(self, action: api.Action) -> None:
         match action:
@@ -335,7 +292,7 @@
             case api.Fail(job=number):
                 self._answer(number, Answer(Final.FAILED))
             case api.CancelAttempt(job=number, attempt=index):
-                held = self._jobs.get(number)
+                held = self.jobs.get(number)
                 if held is not None and held.attempts[index].outcome is None:
                     self._give_up(held.attempts[index], api.Outcome.CANCELLED)
             case api.WatchWorkers(on=on):
@@ -348,7 +305,7 @@
                 log.error("action_unknown", action=type(action).__name__)
 
     def _send(self, action: api.Send) -> None:
-        held, worker = self._jobs.get(action.job), self._workers.numbered(action.worker)
+        held, worker = self.jobs.get(action.job), self._workers.numbered(action.worker)
         if held is None:
             log.error("send_without_job", number=action.job)
             return
@@ -394,23 +351,21 @@
     # ---- the one final answer ----------------------------------------------------------------------
 
     def _answer(self, number: int, answer: Answer) -> None:
-        held = self._jobs.get(number)
+        held = self.jobs.get(number)
         if held is not None and not held.closed:
             self._close(held, answer)
-            self._forget(held)
+            self.jobs.forget(held)
 
-    def _close(self, held: _Held, answer: Answer | None) -> None:
+    def _close(self, held: HeldJob, answer: Answer | None) -> None:
         """The one place where a job gets its answer (None: its client is gone)."""
         held.closed = True
         if held.timer is not None:
             held.timer.cancel()
-        name = held.order.origin, held.order.id
-        del self._held_ids[name]
         now = self.clock.now()
         record = held.record
         record.at, record.ended, record.may_have_run = now, True, record.may_have_run or held.out > 0
         record.final, record.state = (answer.final, "") if answer is not None else (None, WITHDRAWN)
-        self._records.put(name, record, now)
+        self.jobs.answered(held, now)
         if answer is not None:
             self.tally.final(held.order.job_class, answer.final)
             if answer.final is not Final.SERVED:
@@ -427,17 +382,13 @@
         held.reply = None
         self._empty()
 
-    def _forget(self, held: _Held) -> None:
-        if held.closed and not held.out and self._jobs.pop(held.number, None) is not None:
-            self._bodies -= len(held.order.body)
-
-    def _overdue(self, held: _Held) -> None:
+    def _overdue(self, held: HeldJob) -> None:
         if not held.closed:  # the module's own timer comes sooner: only its failure leads here
             log.error("job_overdue", job=held.order.id)
             self._answer(held.number, Answer(Final.FAILED))
             self._feed(api.JobWithdrawn(held.number))
 
     def _empty(self) -> None:
-        if self.closing and not self._held_ids and self._on_empty is not None:
+        if self.closing and not self.jobs.owing and self._on_empty is not None:
             call, self._on_empty = self._on_empty, None
             call()
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -230,7 +230,7 @@
         one = Client(stage)
         one.send(job(b"a"))
         await soon(lambda: stage.program.exchange.held)
-        (held,) = stage.program.exchange._jobs.values()
+        (held,) = stage.program.exchange.jobs
         await soon(lambda: held.attempts and stage.program.workers.movable(held.attempts[0]))
         one.send(b"x")
         await soon(lambda: tried)
@@ -296,7 +296,7 @@
         one = Client(old)
         one.send(job(b"a"))
         await soon(lambda: old.program.exchange.held)
-        (held,) = old.program.exchange._jobs.values()
+        (held,) = old.program.exchange.jobs
         await soon(lambda: held.attempts and old.program.workers.movable(held.attempts[0]))
         old.program.succession._give(link, server_end(old))
         what, fields, body, handed = link.send.call_args.args
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -92,7 +92,7 @@
     clock, answers, names = Bounded(1000.0), [], made.names("classes")
     exchange = Exchange(made.settings, made.seed, clock)
     assert list_terms(made.settings).again > 0 and made.whose
-    with mock.patch("millethead.exchange.core.log.exception") as failed:
+    with mock.patch("millethead.exchange.module_queue.log.exception") as failed:
         exchange.listed(Side(exchange), api.ListForm.FULL, [Listed("w", started=1500.0, confirms=True), Listed("x")])
         for n in range(len(names)):
             exchange.arrive(Order(f"a{n}", n, min(5000.0, made.settings.classes[n].deadline)), answers.append)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -52,7 +52,7 @@
         self.exchange.ended(attempt, api.Outcome.OK, b"other")
         self.clock.run(20_000)
         self.assertEqual([(a.final, a.result) for a in self.answers], [(Final.SERVED, b"seat")])
-        self.assertEqual((self.exchange.held, self.exchange._jobs, self.exchange._bodies), (0, {}, 0))
+        self.assertEqual((self.exchange.held, self.exchange.jobs.by_number, self.exchange.jobs.body_bytes), (0, {}, 0))
 
     def test_silence_is_a_time_out_and_answered_before_the_client_quits(self):
         self.arrive("a", 1)
@@ -129,7 +129,7 @@
     def test_a_withdrawn_job_gets_no_answer_and_its_attempt_is_given_up(self):
         self.exchange.withdraw(self.arrive("a"))
         self.clock.run(20_000)
-        self.assertEqual((self.answers, len(self.side.given_up), self.exchange._jobs), ([], 1, {}))
+        self.assertEqual((self.answers, len(self.side.given_up), self.exchange.jobs.by_number), ([], 1, {}))
 
     def test_a_whole_list_speaks_for_its_own_side_alone(self):
         other = Side()
@@ -139,7 +139,7 @@
         self.assertEqual([a.worker.name for a in other.started], ["w9"])
 
     def test_what_is_held_is_bounded(self):
-        with mock.patch("millethead.exchange.core.HELD", 2):
+        with mock.patch("millethead.exchange.held.HELD", 2):
             for job_id in "abc":
                 self.arrive(job_id)
         self.assertEqual(self.finals(), [Final.REFUSED])
@@ -148,7 +148,7 @@
                 self.exchange.ended(self.side.started[0], api.Outcome.OK)
                 self.side.started.clear()
                 self.arrive(f"d{n}")
-        self.assertLessEqual(len(self.exchange._records), 2)
+        self.assertLessEqual(len(self.exchange.jobs._records), 2)
 
     def test_the_core_knows_no_wire(self):
         code = (
--- a/tests/test_send_races.py
+++ b/tests/test_send_races.py
@@ -49,7 +49,7 @@
 
     def job(self, job_class=SAFE, name="a"):
         number = self.exchange.arrive(Order(name, job_class, 60_000.0, target="/api", body=BODY), self.answers.append)
-        self.held = self.exchange._jobs[number]
+        self.held = self.exchange.jobs.by_number[number]
         return number
 
     @property
@@ -190,7 +190,7 @@
     await soon(lambda: bench.pool._idle)
     bench.pool.stop()
     assert await asyncio.wait_for(reader.read(), PATIENCE) == b""
-    assert bench.exchange._jobs == {}
+    assert bench.exchange.jobs.by_number == {}
 
 
 async def test_a_reset_before_the_last_byte_proves_that_it_never_ran(bench, before_last_byte):
