--- a/millethead/lab/core_absence.py
+++ b/millethead/lab/core_absence.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from millethead.control.calls import CallAnswer, ConfigurationCall, JobCall
-from millethead.lab import core_machine, core_world
+from millethead.lab import core_machine, core_watch, core_world
 from millethead.lab.core_clients import HOST, JOB, PREFIX
 from millethead.lab.core_machine import Machine
 from millethead.lab.core_oracle import OK, Violation
@@ -60,7 +60,7 @@
             self.longest_wait_s = max(self.longest_wait_s, now - self._sent_at)
         if self.done:
             return
-        head = self._world.head()
+        head = self._world.cluster.head()
         if head is not None and head.process is not None and (self._sent_at is None or now - self._sent_at > RETRY_S):
             self._sent_at = now
             head.process.call(self._next_order(), self._answered)
@@ -95,7 +95,7 @@
     """Logs as long as in service, and no reading of disks at commits, which would take all the time there is."""
     with (
         mock.patch.object(core_machine, "COMPACT_ENTRIES", REWRITE_ENTRIES),
-        mock.patch.object(core_world, "DISKS_READ", 0.0),
+        mock.patch.object(core_watch, "DISKS_READ", 0.0),
         mock.patch.object(core_world, "SNAPSHOT_PART_BYTES", 64 << 10),
     ):
         yield
@@ -111,8 +111,12 @@
     world = CoreWorld(seed, WorldSettings(trouble_s=1e9, by_chance=False, members=((3, 1),)))
     timeline = world.timeline
     timeline.run(AWAY_AT_S)
-    away = next(machine for machine in world.machines() if machine.disk is not None and machine is not world.head())
-    world.kill(away, float("inf"))
+    away = next(
+        machine
+        for machine in world.cluster.machines()
+        if machine.disk is not None and machine is not world.cluster.head()
+    )
+    world.cluster.kill(away, float("inf"))
     load = _Load(world, changes, jobs)
     load.look()
     while not load.done:
@@ -120,7 +124,7 @@
     load.longest_wait_s = 0.0
     load._changes += more
     load.look()
-    world._start(away)
+    world.cluster.start(away)
     began = timeline.now
     while not _holds_all(world, away):
         timeline.run(timeline.now + LOOK_S)
@@ -151,11 +155,11 @@
     """All others lose their power: the member that was away is needed for everything that was acknowledged, and knows
     each order again."""
     timeline = world.timeline
-    for other in world.machines():
+    for other in world.cluster.machines():
         if other is not machine:
-            world.lose_power(other, 0.5)
+            world.cluster.lose_power(other, 0.5)
     timeline.run(timeline.now + 6.0)
-    head = world.head()
+    head = world.cluster.head()
     if head is None or head.process is None or head.process.replica is None:
         raise Violation("no head serves six seconds after the others lost their power")
     state = head.process.state.snapshot()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -145,8 +145,8 @@
 def test_what_a_leaving_member_held_outlives_the_loss_of_the_next(seed: int) -> None:
     """One member is lost, a new one has just come, another leaves for good; then the third loses its disk."""
     world = CoreWorld(seed, WorldSettings(trouble_s=14.0, by_chance=False, members=((3, 1),)))
-    lost, leaver, last = world.machines()[:3]
-    world.timeline.after(2.0, lambda: world.replace(lost, 0.05))
+    lost, leaver, last = world.cluster.machines()[:3]
+    world.timeline.after(2.0, lambda: world.cluster.replace(lost, 0.05))
     ended: list[float] = []
 
     def leave() -> None:
@@ -157,8 +157,8 @@
     def gone(process: CoreProcess) -> None:
         assert process.replica is not None and process.replica.handed_over
         ended.append(world.timeline.now)
-        world.replace(leaver, 0.05)
+        world.cluster.replace(leaver, 0.05)
 
     world.timeline.after(2.4, leave)
-    world.timeline.after(2.4 + 3.0 + 5.0, lambda: world.wipe(last, 0.3))
+    world.timeline.after(2.4 + 3.0 + 5.0, lambda: world.cluster.wipe(last, 0.3))
     assert world.play().fault == "" and ended
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -111,9 +111,9 @@
 def test_a_machine_may_be_lost_once_the_successor_of_another_has_had_its_time(seed):
     """The voter of the machine that is gone must not be needed for a majority by then."""
     world = CoreWorld(seed, WorldSettings(trouble_s=9.0, by_chance=False, members=((3, 1),)))
-    lost, gone = world.machines()[:2]
-    world.timeline.after(2.0, lambda: world.replace(gone, 0.2))
-    world.timeline.after(2.0 + 0.2 + 0.3 + CATCH_UP_S, lambda: world.wipe(lost, 0.5))
+    lost, gone = world.cluster.machines()[:2]
+    world.timeline.after(2.0, lambda: world.cluster.replace(gone, 0.2))
+    world.timeline.after(2.0 + 0.2 + 0.3 + CATCH_UP_S, lambda: world.cluster.wipe(lost, 0.5))
     assert world.play().fault == ""
 
 
--- a/tests/test_scrubbing.py
+++ b/tests/test_scrubbing.py
@@ -313,7 +313,7 @@
 
 
 def with_disk(world: CoreWorld) -> list:
-    return [machine for machine in world.machines() if machine.disk is not None]
+    return [machine for machine in world.cluster.machines() if machine.disk is not None]
 
 
 def identities(world: CoreWorld) -> list[int]:
@@ -326,7 +326,7 @@
     before: list[int] = []
     world.timeline.after(1.9, lambda: before.extend(identities(world)))
     for number, machine in enumerate(with_disk(world)):
-        world.timeline.after(2.0 + 4.0 * number, partial(world.rot_in_service, machine, 0.2))
+        world.timeline.after(2.0 + 4.0 * number, partial(world.cluster.rot_in_service, machine, 0.2))
     fault = world.play().fault
     return fault, identities(world) == before
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -30,7 +30,7 @@
     found: list[float] = []
 
     def look() -> None:
-        if played.head() is not None:
+        if played.cluster.head() is not None:
             found.append(played.timeline.now - lost)
         else:
             played.timeline.after(LOOK_S, look)
@@ -44,9 +44,9 @@
     played = world(seed)
 
     def kill_head() -> None:
-        head = played.head()
+        head = played.cluster.head()
         assert head is not None
-        played.kill(head, 3.0)
+        played.cluster.kill(head, 3.0)
 
     played.timeline.after(TROUBLE_AT, kill_head)
     served = seconds_until_served(played, TROUBLE_AT)
@@ -60,9 +60,9 @@
     back_s = 0.5
 
     def lose_power() -> None:
-        for machine in played.machines():
+        for machine in played.cluster.machines():
             assert isinstance(machine, Machine)
-            played.lose_power(machine, back_s)
+            played.cluster.lose_power(machine, back_s)
 
     played.timeline.after(TROUBLE_AT, lose_power)
     served = seconds_until_served(played, TROUBLE_AT)
