Read again: one look at demand a round, late jobs logged by the head, no word awaited of nothing

- headroom worked out what better priorities need anew at each placement; once a round is enough (Headroom).
The means of a queue move alike.
- the feeder wrote log lines; it hands late jobs to the head, which logs them, as it does with standings of workers.
- a word of an agent was awaited also where all its orders had been cancelled meanwhile, so that it counted as silent; a test forces that.

--- a/benchmarks/decisions/paired.py
+++ b/benchmarks/decisions/paired.py
@@ -27,6 +27,7 @@
 from math import ceil
 from pathlib import Path
 from random import Random
+from threading import Lock
 from typing import Any
 from uuid import uuid4
 
@@ -140,17 +141,20 @@
     return None
 
 
-def play_all(options: dict[str, Any]) -> list[Row]:
-    """All plays with all versions."""
+def play_all(options: dict[str, Any]) -> None:
+    """All plays with all versions; each row is kept as soon as it is there."""
+    file, lock = Path(options["FILE"]), Lock()
     versions = [entry.split("=", 1) for entry in options["VERSION=FOLDER"]]
     tasks = [(name, folder, what) for what in plays_of(options["--plays"]) for name, folder in versions]
 
-    def play_task(task: tuple[str, str, Play]) -> Row:
+    def play_task(task: tuple[str, str, Play]) -> None:
         name, folder, what = task
-        return play(options["BENCH"], Path(folder), name, what, options["--why"])
+        row = play(options["BENCH"], Path(folder), name, what, options["--why"])
+        with lock:
+            add_row(file, row)
 
     with ThreadPoolExecutor(int(options["--jobs"])) as pool:
-        return list(pool.map(play_task, tasks))
+        list(pool.map(play_task, tasks))
 
 
 def report(rows: list[Row], before: str, after: str) -> list[str]:
@@ -208,25 +212,24 @@
     return Row(**{**values, **figures})  # type: ignore[arg-type]
 
 
-def add_rows(file: Path, rows: list[Row]) -> None:
-    """Keep the rows behind those of earlier calls."""
+def add_row(file: Path, row: Row) -> None:
+    """Keep a row behind those that are there."""
     file.parent.mkdir(parents=True, exist_ok=True)
     fresh = not file.exists()
     with file.open("a", newline="") as lines:
         writer = csv.DictWriter(lines, [field.name for field in fields(Row)], lineterminator="\n")
         if fresh:
             writer.writeheader()
-        writer.writerows(asdict(row) for row in rows)
+        writer.writerow(asdict(row))
 
 
 def main() -> None:
     """Play, or compare."""
     options = docopt(__doc__)
-    file = Path(options["FILE"])
     if options["play"]:
-        add_rows(file, play_all(options))
+        play_all(options)
         return
-    lines = report(read_rows(file), options["BEFORE"], options["AFTER"])
+    lines = report(read_rows(Path(options["FILE"])), options["BEFORE"], options["AFTER"])
     sys.stdout.writelines(line + "\n" for line in lines)
 
 
--- a/millethead/control/agents.py
+++ b/millethead/control/agents.py
@@ -197,12 +197,15 @@
         if self.sessions.get(session.node) is session:
             session.link.send(whole)
 
-    def send_orders(self, orders: Committed[WorkerOrders]) -> None:
-        """Have runs begun, but for those that are to be stopped by now or whose job is over."""
+    def send_orders(self, orders: Committed[WorkerOrders]) -> bool:
+        """Have runs begun, but for those that are to be stopped by now or whose job is over; returns whether the agent
+        was told of any."""
         session = self.sessions.get(orders.value.node)
         wanted = orders.derive(lambda value: DesiredRuns(value.instance, False, self._still_wanted(value.orders), ()))
-        if session is not None and wanted.value.orders:
-            session.link.send(wanted)
+        if session is None or not wanted.value.orders:
+            return False
+        session.link.send(wanted)
+        return True
 
     def _still_wanted(self, orders: tuple[RunOrder, ...]) -> tuple[RunOrder, ...]:
         return tuple(order for order in orders if self._is_wanted(task_run(order.key.task, order.key.run)))
--- a/millethead/control/feeder.py
+++ b/millethead/control/feeder.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-import structlog
-
 from millethead.configuration.model import Configuration
 from millethead.control.job_times import JobTimes, LateJob
 from millethead.execution.messages import RunEnd
@@ -27,8 +25,6 @@
 from millethead.scheduling.placement import cores
 from millethead.scheduling.scheduler import Scheduler
 
-log = structlog.get_logger()
-
 RESTART_PAUSE_S = (0.2, 2.0)  # first and longest pause before a lasting task that failed at once is started again
 REJECT_PAUSE_S = (0.05, 1.0)  # the same for a task that a worker rejected
 STEADY_RUN_S = 5.0  # a lasting task that ran for so long begins with the first pause again
@@ -65,6 +61,7 @@
         self._failed_on: dict[tuple[StepKey, int], frozenset[str]] = {}
         self._steps: set[StepKey] = set()
         self._times = JobTimes()
+        self._late: list[LateJob] = []
 
     # ---- start -------------------------------------------------------------------------------------------
 
@@ -261,11 +258,16 @@
         self._failed_on.pop((key, index), None)
 
     def _time_over(self, job: Job, time: int, clock: Clock) -> None:
-        """All steps of a job are done at one time K: it is logged where its time went, if it was late."""
+        """All steps of a job are done at one time K: it is kept where its time went, if it was late."""
         began_ms = job.description.due_ms(time) or job.submitted_ms
         late = self._times.time_over(job, time, (clock.wall_ms - began_ms) / 1000)
         if late is not None:
-            log.info("job_late", job=job.name, time=time, queue=job.terms.route, **_in_ms(late))
+            self._late.append(late)
+
+    def take_late(self) -> list[LateJob]:
+        """The jobs that were found late since the last time."""
+        late, self._late = self._late, []
+        return late
 
     def _step_finished(self, job: Job, key: StepKey, clock: Clock) -> None:
         self._remove(key)
@@ -319,23 +321,6 @@
         return min(due, rest)
 
 
-def _in_ms(late: LateJob) -> dict[str, int]:
-    """The parts of a late job's time as fields of the log."""
-    spent = late.spent
-    seconds = {
-        "total_ms": late.total_s,
-        "objective_ms": late.objective_s,
-        "unseen_ms": late.unseen_s,
-        "waited_ms": spent.waited_s,
-        "repeated_ms": spent.repeated_s,
-        "ran_ms": spent.ran_s,
-        "turnover_ms": spent.turnover_s,
-        "estimated_ms": spent.estimated_s,
-        "far_ms": spent.far_s,
-    }
-    return {name: round(1000 * value) for name, value in seconds.items()}
-
-
 def _work_left(job: Job, time: int) -> float:
     """What is not done yet of a job at a time K, in core-seconds by estimate."""
     steps = zip(job.description.steps, job.at_time(time).steps, strict=True)
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -169,6 +169,8 @@
         for closed in outcome.closed:
             self.agents.closed(closed.ended.run)
         self.feeder.runs_closed(outcome, self._moment())
+        for late in self.feeder.take_late():
+            log.info("job_late", job=late.job, time=late.time, queue=late.queue, **late.in_ms())
         self.rounds.want()
 
     def _drain(self, call: DrainCall, reply: Reply) -> None:
--- a/millethead/control/job_times.py
+++ b/millethead/control/job_times.py
@@ -51,6 +51,9 @@
     """A job, or one time of a repeated job, that took longer than its objective. `unseen_s`: the part of `total_s`
     that passed under earlier heads or before the job was known."""
 
+    job: str
+    time: int
+    queue: str
     total_s: float
     objective_s: float
     spent: TimeSpent
@@ -59,6 +62,22 @@
     def unseen_s(self) -> float:
         return max(0.0, self.total_s - self.spent.seen_s)
 
+    def in_ms(self) -> dict[str, int]:
+        """The parts of its time in whole milliseconds, by their names in the log."""
+        spent = self.spent
+        seconds = {
+            "total_ms": self.total_s,
+            "objective_ms": self.objective_s,
+            "unseen_ms": self.unseen_s,
+            "waited_ms": spent.waited_s,
+            "repeated_ms": spent.repeated_s,
+            "ran_ms": spent.ran_s,
+            "turnover_ms": spent.turnover_s,
+            "estimated_ms": spent.estimated_s,
+            "far_ms": spent.far_s,
+        }
+        return {name: round(1000 * value) for name, value in seconds.items()}
+
 
 @dataclass(slots=True)
 class _TaskTimes:
@@ -145,7 +164,7 @@
         if total_s <= objective_s:
             return None
         spent = max(done.values(), key=lambda entry: entry[0])[1] if done else TimeSpent()
-        return LateJob(total_s, objective_s, spent)
+        return LateJob(job.name, time, job.terms.route, total_s, objective_s, spent)
 
     def forget(self, job: str, time: int, steps: int) -> None:
         """A job is over at a time K at which it has so many steps."""
--- a/millethead/control/rounds.py
+++ b/millethead/control/rounds.py
@@ -125,8 +125,8 @@
 
     def _committed(self, released: Committed[tuple[WorkerOrders, ...]]) -> None:
         for orders in each(released):
-            self._agents.send_orders(orders)
-            self._agents.silences.await_word(orders.value.node, self._clock.now())
+            if self._agents.send_orders(orders):
+                self._agents.silences.await_word(orders.value.node, self._clock.now())
         self._over()
 
     def _over(self) -> None:
--- a/millethead/lab/screen/history.py
+++ b/millethead/lab/screen/history.py
@@ -9,11 +9,12 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from itertools import count
 from random import Random
 
-from millethead.execution.messages import Resources, RunEnd
+from millethead.execution.messages import RunEnd
 from millethead.lab.screen.jobs import JobPlan, StepPlan, capacity_of, draw_jobs, rack_of
 from millethead.lab.screen.workload import Trouble, Workload
 from millethead.scheduling.looks import run_gap
@@ -32,6 +33,7 @@
 RETRIES = 4
 RESTORE_S = 0.1
 SAVE_S = 2.0  # of work between two checkpoints
+LEAST_RAN_S = 0.001
 ROUND_S = 0.01  # between two rounds of the scheduler
 LEASE_S = 12.8  # a worker that is cut off for longer loses what runs there
 NOTICE_S = 0.7  # until it is known that a worker does not answer
@@ -101,9 +103,9 @@
         self._round_at = -1.0
         self._scheduler = self._new_scheduler()
         for job in self.jobs:
-            self._later(job.came, lambda now, job=job: self._put(job, 0, now))  # type: ignore[misc]
+            self._later(job.came, partial(self._put, job, 0))
         for trouble in workload.troubles:
-            self._later(trouble.at, lambda now, trouble=trouble: self._begin(trouble, now))  # type: ignore[misc]
+            self._later(trouble.at, partial(self._begin, trouble))
 
     def play(self) -> list[JobPlan]:
         """Run it to its end."""
@@ -135,35 +137,44 @@
         return _Worker(number, state, fleet.speeds[number % len(fleet.speeds)])
 
     def _begin(self, trouble: Trouble, now: float) -> None:
-        if trouble.kind == "headless":
-            self._headless_until = now + trouble.for_s
-            self._later(self._headless_until, self._new_head)
+        """A trouble begins. Those of requests and of racks are in what was drawn."""
+        match trouble.kind:
+            case "headless":
+                self._headless_until = now + trouble.for_s
+                self._later(self._headless_until, self._new_head)
+            case "cut" | "lost":
+                for worker in self._struck(trouble):
+                    self._cut(worker, trouble, now)
+            case "slow":
+                for worker in self._struck(trouble):
+                    worker.speed /= trouble.x
+                    self._later(now + trouble.for_s, partial(self._speed_up, worker, trouble.x))
+            case "failing":
+                self._failing.update({worker.state.instance: trouble for worker in self._struck(trouble)})
+
+    def _struck(self, trouble: Trouble) -> list[_Worker]:
+        """The workers that a trouble befalls."""
         chosen = self._random.sample(sorted(self._workers), round(trouble.share * len(self._workers)))
-        for instance in chosen if trouble.kind in ("cut", "lost", "failing", "slow") else ():
-            worker = self._workers[instance]
-            if trouble.kind in ("cut", "lost"):
-                self._cut(worker, trouble, now)
-            elif trouble.kind == "slow":
-                worker.speed /= trouble.x
-                self._later(now + trouble.for_s, lambda _, w=worker, x=trouble.x: setattr(w, "speed", w.speed * x))  # type: ignore[misc]
-            else:
-                self._failing[instance] = trouble
+        return [self._workers[instance] for instance in chosen]
+
+    def _speed_up(self, worker: _Worker, times: float, now: float) -> None:
+        worker.speed *= times
 
     def _cut(self, worker: _Worker, trouble: Trouble, now: float) -> None:
         worker.cut_until = now + trouble.for_s
-        self._later(now + NOTICE_S, lambda at: self._reach(worker, at))
-        self._later(worker.cut_until + NOTICE_S, lambda at: self._reach(worker, at))
+        self._later(now + NOTICE_S, partial(self._reach, worker))
+        self._later(worker.cut_until + NOTICE_S, partial(self._reach, worker))
         if trouble.kind == "lost":
             for run in worker.runs:
                 run.over = True
-            self._later(now + NOTICE_S, lambda at: self._lose(worker, at))
+            self._later(now + NOTICE_S, partial(self._lose, worker))
 
     def _lose(self, worker: _Worker, now: float) -> None:
         for run in list(worker.runs):
             self._known_end(run, RunEnd.LOST, now)
 
     def _reach(self, worker: _Worker, now: float) -> None:
-        worker.state = _reachable(worker.state, now >= worker.cut_until)
+        worker.state = replace(worker.state, reachable=now >= worker.cut_until)
         if now >= self._headless_until:
             self._scheduler.put_worker(worker.state)
             self._want_round(now)
@@ -270,7 +281,7 @@
         self._scheduler.run_started(key, index, placement.instance, run.number, now)
         share = self._random.uniform(0.1, 0.9) if fails else 1.0
         how = RunEnd.FAILED if fails else RunEnd.DONE
-        self._later(began + run.left_s / rate * share, lambda at: self._over(run, how, at))
+        self._later(began + run.left_s / rate * share, partial(self._over, run, how))
 
     def _over(self, run: _Run, how: RunEnd, now: float) -> None:
         """A run ends at its worker; the head learns of it after the next look."""
@@ -283,20 +294,21 @@
         others = [self._gap(other) for other in worker.runs if not other.over]
         gap = min([run_gap(spare, len(job.steps)), self._scheduler.look_gap(worker.state.instance), *others])
         seen = max(now + self._random.uniform(0.0, gap), worker.cut_until)
-        self._later(seen + self._workload.delays.end_s, lambda at: self._report(run, how, at - now, at))
+        self._later(seen + self._workload.delays.end_s, partial(self._report, run, how, now))
 
     def _gap(self, run: _Run) -> float:
         job = self._by_name[run.placement.key.job]
         return run_gap(job.estimated_objective_s - sum(step.estimate_s for step in job.steps), len(job.steps))
 
-    def _report(self, run: _Run, how: RunEnd, ago_s: float, now: float) -> None:
+    def _report(self, run: _Run, how: RunEnd, ended_at: float, now: float) -> None:
+        """The head learns of an end, unless there is none: then it is kept for the next one."""
         if run.ended:
             return
         if now < self._headless_until:
             self._unreported.append((run, how))
             return
         placement = run.placement
-        ran_s = max(0.001, now - ago_s - run.began)
+        ran_s = max(LEAST_RAN_S, ended_at - run.began)
         self._scheduler.run_lasted(placement.key, placement.index, placement.instance, run.number, ran_s)
         self._known_end(run, how, now)
 
@@ -347,24 +359,9 @@
         if run is None or run.placement.instance != preemption.instance:
             return
         stopped = now + self._workload.delays.stop_s
-        self._later(stopped, lambda at: self._stopped(run, at))
+        self._later(stopped, partial(self._stopped, run))
 
     def _stopped(self, run: _Run, now: float) -> None:
         if not run.over:
             run.over = True
-            self._report(run, RunEnd.STOPPED, 0.0, now)
-
-
-def _reachable(state: WorkerState, reachable: bool) -> WorkerState:
-    return WorkerState(
-        state.instance,
-        state.node,
-        state.service,
-        state.capacity,
-        Resources(0, 0, 0),
-        state.labels,
-        state.rack,
-        state.draining,
-        state.remaining_s,
-        reachable,
-    )
+            self._report(run, RunEnd.STOPPED, now, now)
--- a/millethead/lab/screen/jobs.py
+++ b/millethead/lab/screen/jobs.py
@@ -87,7 +87,7 @@
 
 def _draw_kind(workload: Workload, kind: RequestKind, random: Random) -> Iterator[JobPlan]:
     at, number = 0.0, 0
-    bursts = [trouble for trouble in workload.troubles if trouble.kind == "burst" and _meets(trouble, kind)]
+    bursts = [trouble for trouble in workload.troubles if trouble.bursts(kind)]
     peak = kind.per_s * (1.0 + workload.swing) * max((trouble.x for trouble in bursts), default=1.0)
     while True:
         at += random.expovariate(peak)
@@ -100,10 +100,6 @@
             number += 1
 
 
-def _meets(trouble: object, kind: RequestKind) -> bool:
-    return getattr(trouble, "kind_of_request", "") in ("", kind.name)
-
-
 def _draw_job(workload: Workload, kind: RequestKind, name: str, at: float, random: Random) -> JobPlan:
     count = max(1, round(kind.steps.draw(random)))
     steps = tuple(_draw_step(workload, kind, at, random) for _ in range(count))
--- a/millethead/lab/screen/judge.py
+++ b/millethead/lab/screen/judge.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from math import inf
 from statistics import mean
 
 from millethead.lab.screen.jobs import LEAST_WORTH, MOST_WORTH, JobPlan
@@ -81,8 +80,3 @@
     listed = list(entries)
     owed = sum(entry.owed for entry in listed)
     return sum(entry.earned for entry in listed) / owed if owed else 1.0
-
-
-def is_done(job: JobPlan) -> bool:
-    """Whether it was done at all."""
-    return job.done_s < inf
--- a/millethead/lab/screen/workload.py
+++ b/millethead/lab/screen/workload.py
@@ -94,6 +94,10 @@
     x: float = 1.0
     kind_of_request: str = ""
 
+    def bursts(self, kind: RequestKind) -> bool:
+        """Whether it brings more requests of a kind."""
+        return self.kind == "burst" and self.kind_of_request in ("", kind.name)
+
     def covers(self, now: float) -> bool:
         """Whether it is under way."""
         return self.at <= now < self.at + self.for_s
--- a/millethead/programs/command_line.py
+++ b/millethead/programs/command_line.py
@@ -59,8 +59,7 @@
 
 
 def _serve(program: Program, level: str) -> None:
-    read_settings()  # tells what is wrong with them
-    serve(program, level)
+    serve(program, read_settings(), level)
 
 
 @app.command()
--- a/millethead/programs/serving.py
+++ b/millethead/programs/serving.py
@@ -6,7 +6,10 @@
 
 import asyncio
 import sys
-from typing import Literal, get_args
+from typing import TYPE_CHECKING, Literal, get_args
+
+if TYPE_CHECKING:
+    from millethead.configuration.settings import ProcessSettings
 
 Program = Literal["control", "dispatcher", "agent"]
 PROGRAMS: tuple[Program, ...] = get_args(Program)
@@ -23,19 +26,17 @@
     from millethead.configuration.settings import InvalidSettings, load_settings
 
     try:
-        load_settings(None)
+        settings = load_settings(None)
     except InvalidSettings:
         return False
-    serve(arguments[0], "info")
+    serve(arguments[0], settings, "info")
     return True
 
 
-def serve(program: str, level: str) -> None:
-    """Serve until a signal. Raises InvalidSettings."""
-    from millethead.configuration.settings import load_settings
+def serve(program: str, settings: ProcessSettings, level: str) -> None:
+    """Serve until a signal."""
     from millethead.logs import set_up
 
-    settings = load_settings(None)
     set_up(level, settings.node)
 
     async def run() -> None:
--- a/millethead/replication/agreement.py
+++ b/millethead/replication/agreement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -113,10 +114,10 @@
         elif now - attempt.asked_at >= REPEAT_S:
             self._ask(now)
 
-    def repeat(self) -> None:
+    def ask_again(self) -> None:
         """Put an open question again at the next tick."""
         if self._attempt is not None:
-            self._attempt.asked_at -= REPEAT_S
+            self._attempt.asked_at = -math.inf
 
     def receive(self, now: float, sender: str, message: PaxosMessage) -> None:
         """Take a message of any kind that came from `sender` (host:port)."""
--- a/millethead/replication/replica.py
+++ b/millethead/replication/replica.py
@@ -256,7 +256,7 @@
             if self.liveness.contacts()[address].since == now:
                 self._ports.datagram(address, self._heartbeat(now))  # a new process hears of this one at once
                 self._next_beat = min(self._next_beat, now + NEWS_BEAT_S)  # and all hear soon who hears whom
-                self.register.repeat()  # it may be the voter that was missing
+                self.register.ask_again()  # it may be the voter that was missing
 
     def process_ended(self, now: float, neighbour: ChainMember) -> None:
         """Nobody listens at a neighbour's address any more: the process that has the place in the chain is over."""
--- a/millethead/scheduling/headroom.py
+++ b/millethead/scheduling/headroom.py
@@ -26,7 +26,7 @@
         step.flow.demand.add(tasks * cores(step.spec.needs) * step.spec.estimate_s, now)
 
 
-def note_use(step: Step, runs: int) -> None:
+def note_runs(step: Step, runs: int) -> None:
     """Runs of a step are booked, or released where the number is negative."""
     if not step.spec.long_running:
         step.flow.in_use += runs * cores(step.spec.needs)
@@ -39,13 +39,34 @@
     return flow.demand.rate(now) / (1.0 - exp(-known_s / RATE_WINDOW_S))
 
 
-def leaves_room(flow: Flow, pool: Pool, now: float) -> bool:
-    """Whether a queue has to leave the free room to better ones."""
-    kept = sum(
-        max(0.0, HEADROOM * expected_cores(other, now) - other.in_use)
-        for other in pool.flows.values()
-        if other.spec.priority < flow.spec.priority and flow.estimate_s > LONG_TIMES * other.estimate_s
-    )
-    if kept <= 0.0 or pool.tags.rank(flow.name, now)[0] is Phase.LOCAL:
-        return False
-    return cores(pool.hosts.capacity) - cores(pool.hosts.booked) <= kept
+class Headroom:
+    """What is left to better priorities in one round of the scheduler at a service."""
+
+    def __init__(self, pool: Pool, now: float) -> None:
+        self._pool, self._now = pool, now
+        self._better: dict[Flow, tuple[Flow, ...]] = {}  # of each queue, those to which it leaves room
+        self._wanted: dict[Flow, float] = {}  # cores that a queue should find free or have
+
+    def leaves_room(self, flow: Flow) -> bool:
+        """Whether a queue has to leave the room that is free now to better ones."""
+        kept = sum(max(0.0, self._cores_wanted(other) - other.in_use) for other in self._better_than(flow))
+        if kept <= 0.0 or self._pool.tags.rank(flow.name, self._now)[0] is Phase.LOCAL:
+            return False
+        hosts = self._pool.hosts
+        return cores(hosts.capacity) - cores(hosts.booked) <= kept
+
+    def _better_than(self, flow: Flow) -> tuple[Flow, ...]:
+        found = self._better.get(flow)
+        if found is None:
+            found = self._better[flow] = tuple(
+                other
+                for other in self._pool.flows.values()
+                if other.spec.priority < flow.spec.priority and flow.estimate_s > LONG_TIMES * other.estimate_s
+            )
+        return found
+
+    def _cores_wanted(self, flow: Flow) -> float:
+        wanted = self._wanted.get(flow)
+        if wanted is None:
+            wanted = self._wanted[flow] = HEADROOM * expected_cores(flow, self._now)
+        return wanted
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -22,10 +22,9 @@
 from random import Random
 
 from millethead.execution.messages import RunEnd
-from millethead.scheduling import headroom
 from millethead.scheduling.choosing import FAR_TIMES, Chooser, Chosen, refusal
 from millethead.scheduling.finding import UnitFinder
-from millethead.scheduling.headroom import leaves_room
+from millethead.scheduling.headroom import Headroom, note_runs
 from millethead.scheduling.health import Health, RunName
 from millethead.scheduling.looks import SCARCE_GAP_S, service_gap
 from millethead.scheduling.model import (
@@ -45,11 +44,10 @@
 from millethead.scheduling.room_making import make_room
 from millethead.scheduling.starvation import is_little_used, next_starvation, note_use, starving_steps
 from millethead.scheduling.state import Flow, Pool, Run, Step
+from millethead.scheduling.teaching import Teacher
 from millethead.scheduling.trust import TrustKeeper
 from millethead.scheduling.upkeep import step_changed
 
-GANG_WAIT_S = 3.0  # the first members of a gang wait for the others
-LASTING_STEADY_S = 3.0  # a task that lasts and fails later than this says nothing of its worker
 UNLISTED = QueueSpec("", "", 9, 3.0, 2.0, 1)  # stands for a queue that is no longer configured
 
 
@@ -57,10 +55,10 @@
     """The decisions for all workers and queues of one cell."""
 
     def __init__(self, random: Random, far_times: float = FAR_TIMES) -> None:
-        self._far_times = far_times
         self._chooser = Chooser(random, far_times)
         self._finder = UnitFinder(self._chooser)
         self.health = Health()  # what is held of the workers
+        self._teacher = Teacher(self.health, far_times)
         self._trust = TrustKeeper(self.health)
         self._queues: dict[str, QueueSpec] = {}
         self._pools: dict[str, Pool] = {}
@@ -185,7 +183,7 @@
         known = self._runs.get((key, index, instance))
         if known is None or run < known.number:
             return
-        self._teach(known, outcome, now)
+        self._teacher.ended(known, self._hosts.get(instance), outcome, now)
         self._free(known)
         if not known.step.occupied:
             known.step.idle_since = now
@@ -195,10 +193,9 @@
     def progress(self, key: StepKey, index: int, instance: str, percent: int, now: float) -> None:
         """A worker has listed a run with its percentage."""
         run = self._runs.get((key, index, instance))
-        if run is None or run.step.spec.long_running:
+        if run is None:
             return
-        patience = GANG_WAIT_S if run.step.spec.gang and not percent else 0.0
-        self.health.progressed(run.name, run.step.flow.name, self._expected_s(run), patience, percent, now)
+        self._teacher.progressed(run, self._hosts.get(instance), percent, now)
         self._show_health()
 
     def stalled(self, now: float) -> tuple[Preemption, ...]:
@@ -242,11 +239,12 @@
         """Turns by the tags until nothing fits. Room only shrinks meanwhile: a queue passed over stays so."""
         pool.dirty, pool.look_at = False, inf
         placements: list[Placement] = []
+        room = Headroom(pool, now)
         open_flows = {name: None for name, flow in pool.flows.items() if flow.lanes}  # in a fixed order
         while open_flows:
             for name in pool.tags.order(open_flows, now):
                 flow = pool.flows[name]
-                found = None if leaves_room(flow, pool, now) else self._finder.first_fitting(flow, now)
+                found = None if room.leaves_room(flow) else self._finder.first_fitting(flow, now)
                 if found is None:
                     open_flows.pop(name, None)
                     continue
@@ -326,7 +324,7 @@
         self._runs[run.name] = run
         step.occupy(index, instance)
         step.runs[run] = None
-        headroom.note_use(step, 1)
+        note_runs(step, 1)
         host = self._hosts.get(instance)
         if host is not None:
             self._occupy(host, run)
@@ -342,7 +340,7 @@
         del self._runs[run.name]
         run.step.vacate(run.index, run.instance)
         del run.step.runs[run]
-        headroom.note_use(run.step, -1)
+        note_runs(run.step, -1)
         host = self._hosts.get(run.instance)
         if host is None or run not in host.runs:
             return
@@ -354,22 +352,6 @@
 
     # ---- health ----------------------------------------------------------------------------------------------------
 
-    def _expected_s(self, run: Run) -> float:
-        """What a run should take where it is."""
-        spec, host = run.step.spec, self._hosts.get(run.instance)
-        far = spec.affinity and host is not None and host.rack != spec.affinity
-        return spec.estimate_s * (self._far_times if far else 1.0)
-
-    def _teach(self, run: Run, outcome: RunEnd, now: float) -> None:
-        """What an end says of its worker. Tasks that last fail at any time, and gangs wait for each other. Only a time
-        that the agent has measured says something: this head may have learnt late of the start or of the end."""
-        spec, ran_s = run.step.spec, run.ran_s
-        if outcome is RunEnd.FAILED and spec.long_running and (ran_s is None or ran_s > LASTING_STEADY_S):
-            outcome = RunEnd.STOPPED
-        if outcome is RunEnd.DONE and ran_s is not None and not (run.checkpoint or spec.gang or spec.long_running):
-            self.health.took(run.name, run.step.flow.name, ran_s / max(self._expected_s(run), 1e-3), now)
-        self.health.ended(run.name, outcome, now)
-
     def _show_health(self) -> None:
         """Carry what has changed over to the hosts."""
         for instance in sorted(self.health.changed):
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -261,8 +261,9 @@
     def learn(self, spec: PendingStep) -> None:
         """A step has come: the means move."""
         self.learnt += 1
-        self.estimate_s += max(ESTIMATE_MOVE, 1.0 / self.learnt) * (spec.estimate_s - self.estimate_s)
-        self.mean_work += ESTIMATE_MOVE * (spec.work_left - self.mean_work) if self.mean_work else spec.work_left
+        move = max(ESTIMATE_MOVE, 1.0 / self.learnt)
+        self.estimate_s += move * (spec.estimate_s - self.estimate_s)
+        self.mean_work += move * (spec.work_left - self.mean_work)
 
     def size_delay(self, work: float) -> float:
         """Seconds by which a unit of a job with so much work left goes later than its latest start says: where not all
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -70,8 +70,8 @@
 
 def test_rows_are_added_behind_those_of_earlier_calls(tmp_path: Path) -> None:
     file = tmp_path / "rows.csv"
-    paired.add_rows(file, [row("old", "1", 0.7)])
-    paired.add_rows(file, [row("new", "1", 0.8)])
+    paired.add_row(file, row("old", "1", 0.7))
+    paired.add_row(file, row("new", "1", 0.8))
     assert paired.read_rows(file) == [row("old", "1", 0.7), row("new", "1", 0.8)]
 
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -76,6 +76,24 @@
     assert not other.orders()
 
 
+def test_no_word_is_awaited_of_an_agent_that_was_told_nothing() -> None:
+    """The only order's job was cancelled before its assignment was committed."""
+    bench = Bench()
+    agent = bench.agent("n-1", worker("i-1"))
+    agent.lists()
+    bench.call("POST", body=job())
+    bench.commit()
+    bench.clock.run()  # the round proposes the assignment
+    bench.call("DELETE")
+    bench.settle()
+    assert not agent.orders()
+    agent.report(ended(task(), 1, RunEnd.NEVER))
+    bench.settle()
+    pass_time(bench, SILENT_S + 3 * STEP_S)
+    bench.ask("POST", OTHER, job())
+    assert agent.orders() == [f"{task(name=OTHER)}#1"]
+
+
 def test_agent_whose_connection_has_ended_gets_nothing_new() -> None:
     bench, first, second = two_agents()
     bench.head.agent_gone(first.session)
