--- a/millethead/scheduling/choosing.py
+++ b/millethead/scheduling/choosing.py
@@ -27,7 +27,8 @@
 
 MOST_CANDIDATES = 16  # fitting hosts weighed for one pick; of more, a random part
 FAR_TIMES = 1.5  # times as long away from the data, unless the deployment says otherwise
-RACK_PATIENCE = 0.6  # part of the time that a task loses elsewhere which may be waited away for the rack
+RACK_PATIENCE = 1.5  # times the time that a task loses elsewhere which it may wait for the rack: ends there come often
+GANG_RACK_PATIENCE = 0.6  # the same for a gang and one rack for all of it
 AVOID_PATIENCE_S = 1.0  # how long a retry waits for a worker on which it has not failed
 DOUBT_PATIENCE_S = 1.5  # how long a gang waits for workers whose health is not in doubt
 AVOID_SETS = 3  # different sets of avoided workers tried within a step
@@ -51,7 +52,7 @@
 
     def __init__(self, random: Random, far_times: float = FAR_TIMES) -> None:
         self._random = random
-        self._rack_patience = RACK_PATIENCE * (far_times - 1.0)  # part of the estimate
+        self._far_loss = far_times - 1.0  # what a task loses away from its rack, as part of the estimate
 
     def choose(self, step: Step, pool: Pool, among: list[Host] | None, now: float) -> Chosen:
         """Tasks of one unit with their places; empty where it is not to be placed now.
@@ -125,7 +126,7 @@
         near = [host for host in rack if demand.at(host)]
         if near:
             return near
-        until = task.waiting_since + self._rack_patience * step.spec.estimate_s
+        until = task.waiting_since + RACK_PATIENCE * self._far_loss * step.spec.estimate_s
         if now < until and any(demand.at_best(host) and host.health > 0.0 for host in rack):
             step.wait(until, WaitReason.RACK)
             return []
@@ -192,7 +193,7 @@
     ) -> list[Host] | None:
         """Places on any racks, unless it still waits for one that could hold it whole."""
         since = max(task.waiting_since for task in step.tasks.values())
-        until = since + self._rack_patience * step.spec.estimate_s
+        until = since + GANG_RACK_PATIENCE * self._far_loss * step.spec.estimate_s
         if now < until and any(
             sum(demand.at_best(host) for host in rack) >= step.spec.count for rack in self._racks(step, pool)
         ):
