--- a/millethead/lab/core_clients.py
+++ b/millethead/lab/core_clients.py
@@ -8,27 +8,17 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
 from typing import Protocol
 
 from millethead.control.calls import CallAnswer, CallerHello, ConfigurationCall, ConfigurationUpdate, JobCall
 from millethead.control.configuration_stream import Caller, HeldConfiguration
 from millethead.control.state import order_of
 from millethead.jobs.commands import ChangeConfiguration
-from millethead.lab.core_machine import CoreProcess, Machine
-from millethead.lab.core_oracle import CONFLICT, OK, Oracle, Violation
-from millethead.lab.core_time import Timeline
+from millethead.lab.core_calls import DELAY_S, Call, CallContext, Judge
+from millethead.lab.core_machine import CoreProcess
+from millethead.lab.core_oracle import CONFLICT, OK
 from millethead.rpc import codec
 
-DELAY_S = (0.001, 0.004)  # one way between a client and the core
-LATE = 0.03  # part of the requests that are held up on their way
-LATE_S = 4.0  # for so long at most
-LOST = 0.04  # part of the answers that are lost
-PATIENCE_S = (0.3, 0.9)  # until another member is asked
-GIVE_UP_S = 3.0  # a call without an answer by then has an unclear outcome
-ANSWER_S = 1.5  # calls in a calm time have their answer by then
-ASK_AGAIN_S = 0.06  # after a member that was not the head
 THINK_S = (0.02, 0.5)
 PIPELINED, PIPELINED_S = 0.2, (0.0, 0.02)  # part of the orders on which another one builds, and how much later
 LOOK_S = (0.01, 0.2)  # between reads of a reader
@@ -38,105 +28,9 @@
 REJOIN_S = (0.02, 0.3)  # pause of a follower before it connects again
 STAY_S = (0.1, 3.0)  # a follower keeps a connection for so long in the time of troubles
 
-Record = ConfigurationCall | JobCall
-
-
-class Directory(Protocol):
-    """Where clients find the machines."""
-
-    def machines(self) -> list[Machine]:
-        """Those that were not taken away."""
-
-
-@dataclass(slots=True)
-class Line:
-    """What all clients share."""
-
-    timeline: Timeline
-    random: Random
-    directory: Directory
-    oracle: Oracle
-    acknowledged: Callable[[], None]  # called whenever an order or a job was acknowledged
-    answered_from: float = float("inf")  # calls made from then on have to be answered
-    ends_at: float = float("inf")  # nothing arrives any more
-
-
-Judge = Callable[[CallAnswer], None]
-
-
-class Call:
-    """One call, at one member after another until it is answered or given up. `done` is called once, with None for an
-    unclear outcome. `expect` is called at each attempt; what it returns judges the answer as it leaves the head,
-    whether it reaches the client or not."""
-
-    def __init__(
-        self, line: Line, record: Record, expect: Callable[[], Judge], done: Callable[[CallAnswer | None], None]
-    ) -> None:
-        self._line, self._record, self._expect, self._done = line, record, expect, done
-        self._over = False
-        self._attempt = 0
-        self._target = ""
-        line.timeline.after(GIVE_UP_S, lambda: self._end(None))
-        if line.timeline.now >= line.answered_from:
-            line.timeline.after(ANSWER_S, self._must_be_over)
-        self._send(self._anyone())
-
-    def _anyone(self) -> str:
-        return self._line.random.choice(self._line.directory.machines()).address
-
-    def _end(self, answer: CallAnswer | None) -> None:
-        if not self._over:
-            self._over = True
-            self._done(answer)
-
-    def _must_be_over(self) -> None:
-        if not self._over:
-            raise Violation(f"in the calm time a call has no answer after {ANSWER_S:g} s: {self._record}")
-
-    def _send(self, address: str) -> None:
-        if self._over:
-            return
-        line, self._attempt = self._line, self._attempt + 1
-        attempt, judge = self._attempt, self._expect()
-        late = line.random.uniform(0.0, LATE_S) if self._unlucky(LATE) else 0.0
-        line.timeline.after(line.random.uniform(*DELAY_S) + late, lambda: self._arrive(address, attempt, judge))
-        line.timeline.after(line.random.uniform(*PATIENCE_S), lambda: self._impatient(attempt))
-
-    def _unlucky(self, part: float) -> bool:
-        return self._line.timeline.now < self._line.answered_from and self._line.random.random() < part
-
-    def _impatient(self, attempt: int) -> None:
-        if attempt == self._attempt:
-            self._send(self._anyone())
-
-    def _arrive(self, address: str, attempt: int, judge: Judge) -> None:
-        if self._line.timeline.now > self._line.ends_at:
-            return
-        machine = next((m for m in self._line.directory.machines() if m.address == address), None)
-        if machine is not None and machine.process is not None:
-            process = machine.process
-            process.post(lambda: self._take(process, attempt, judge), self)
-
-    def _take(self, process: CoreProcess, attempt: int, judge: Judge) -> None:
-        line = self._line
-
-        def reply(answer: CallAnswer) -> None:
-            judge(answer)
-            if not self._unlucky(LOST):
-                line.timeline.after(line.random.uniform(*DELAY_S), lambda: self._end(answer))
-
-        head = process.call(self._record, reply)
-        if head is not None:
-            wait = DELAY_S[1] if head and head != process.address else ASK_AGAIN_S
-            line.timeline.after(wait, lambda: self._elsewhere(head or self._anyone(), attempt))
-
-    def _elsewhere(self, address: str, attempt: int) -> None:
-        if attempt == self._attempt:
-            self._send(address)
-
 
 class Client(Protocol):
-    """Calls until `until`, in seconds of the timeline."""
+    """Makes calls until `until`, in seconds of the timeline."""
 
     until: float
 
@@ -146,8 +40,8 @@
 class Operator:
     """Changes the configuration again and again, each time on the version that it takes for the current one."""
 
-    def __init__(self, line: Line, name: str) -> None:
-        self._line, self._name = line, name
+    def __init__(self, context: CallContext, name: str) -> None:
+        self._context, self._name = context, name
         self.version = 0
         self._orders = 0
         self._acknowledged: ChangeConfiguration | None = None
@@ -156,11 +50,11 @@
         self._busy = False
 
     def start(self) -> None:
-        self._line.timeline.after(self._line.random.uniform(*THINK_S), self.act)
+        self._context.timeline.after(self._context.random.uniform(*THINK_S), self.act)
 
     def _next(self) -> None:
         self._busy = False
-        if self._line.timeline.now < self.until:
+        if self._context.timeline.now < self.until:
             self.start()
 
     def act(self) -> None:
@@ -168,7 +62,7 @@
         if self._busy:
             return
         self._busy = True
-        choice = self._line.random.random()
+        choice = self._context.random.random()
         if choice < 0.12 and self._acknowledged is not None:
             self.order(self._acknowledged)
         elif choice < 0.3 and self._unclear is not None:
@@ -180,7 +74,7 @@
         else:
             command = self._new_order(self.version)
             self.order(command)
-            if self._line.random.random() < PIPELINED:
+            if self._context.random.random() < PIPELINED:
                 self._pipeline(command)
 
     def _new_order(self, version: int) -> ChangeConfiguration:
@@ -204,14 +98,14 @@
             if answer is not None and answer.status == OK:
                 self.version = max(self.version, version + 1)
 
-        self._line.timeline.after(self._line.random.uniform(*PIPELINED_S), lambda: self._call(command, done))
+        self._context.timeline.after(self._context.random.uniform(*PIPELINED_S), lambda: self._call(command, done))
 
     def _call(self, command: ChangeConfiguration, done: Callable[[CallAnswer | None], None]) -> None:
         record = ConfigurationCall(0, "PUT", command.if_match, command.body)
-        Call(self._line, record, lambda: self._judge(command), done)
+        Call(self._context, record, lambda: self._judge(command), done)
 
     def _judge(self, command: ChangeConfiguration) -> Judge:
-        oracle = self._line.oracle
+        oracle = self._context.oracle
         before = order_of(command).digest() in oracle.acknowledged_orders
         return lambda answer: oracle.order_answered(command, answer.status, before)
 
@@ -222,7 +116,7 @@
             elif answer.status == OK:
                 self._acknowledged = command
                 self.version = max(self.version, int(json.loads(answer.body)["version"]))
-                self._line.acknowledged()
+                self._context.acknowledged()
             if answer is None or answer.status == CONFLICT:
                 self.read()
             else:
@@ -236,7 +130,7 @@
                 self.version = version_of(answer)
             self._next()
 
-        read_configuration(self._line, done)
+        read_configuration(self._context, done)
 
 
 def version_of(answer: CallAnswer) -> int:
@@ -244,62 +138,62 @@
     return int(json.loads(answer.body)["version"]) if answer.status == OK else 0
 
 
-def read_configuration(line: Line, done: Callable[[CallAnswer | None], None]) -> None:
+def read_configuration(context: CallContext, done: Callable[[CallAnswer | None], None]) -> None:
     """Read the configuration, which may be no older than what was acknowledged or read before the call."""
 
     def expect() -> Judge:
-        floor = line.oracle.version_floor
-        return lambda answer: line.oracle.configuration_read(floor, answer.status, answer.body)
+        floor = context.oracle.version_floor
+        return lambda answer: context.oracle.configuration_read(floor, answer.status, answer.body)
 
-    Call(line, ConfigurationCall(0, "GET", None, b""), expect, done)
+    Call(context, ConfigurationCall(0, "GET", None, b""), expect, done)
 
 
 class Submitter:
     """Hands in jobs, asks for them and cancels some."""
 
-    def __init__(self, line: Line, number: int) -> None:
-        self._line, self._number = line, number
+    def __init__(self, context: CallContext, number: int) -> None:
+        self._context, self._number = context, number
         self._jobs = 0
         self.until = 0.0
 
     def start(self) -> None:
-        self._line.timeline.after(self._line.random.uniform(*THINK_S), self._act)
+        self._context.timeline.after(self._context.random.uniform(*THINK_S), self._act)
 
     def _next(self) -> None:
-        if self._line.timeline.now < self.until:
+        if self._context.timeline.now < self.until:
             self.start()
 
     def _act(self) -> None:
-        known = sorted(self._line.oracle.acknowledged_jobs)
-        choice = self._line.random.random()
+        known = sorted(self._context.oracle.acknowledged_jobs)
+        choice = self._context.random.random()
         if choice < 0.5 or not known:
             self._jobs += 1
             self._submit(f"{self._number:08x}{self._jobs:08x}")
         elif choice < 0.6:
-            self._submit(self._line.random.choice(known))
+            self._submit(self._context.random.choice(known))
         elif choice < 0.7:
-            self._cancel(self._line.random.choice(known))
+            self._cancel(self._context.random.choice(known))
         else:
-            self._read(self._line.random.choice(known))
+            self._read(self._context.random.choice(known))
 
     def _call(self, method: str, name: str, expect: Callable[[], Judge]) -> None:
         def answered(answer: CallAnswer | None) -> None:
             if answer is not None and answer.status == OK and method == "POST":
-                self._line.acknowledged()
+                self._context.acknowledged()
             self._next()
 
-        Call(self._line, JobCall(0, method, HOST, PREFIX + name, JOB if method == "POST" else b""), expect, answered)
+        Call(self._context, JobCall(0, method, HOST, PREFIX + name, JOB if method == "POST" else b""), expect, answered)
 
     def _submit(self, name: str) -> None:
-        self._call("POST", name, lambda: lambda answer: self._line.oracle.job_submitted(name, answer.status))
+        self._call("POST", name, lambda: lambda answer: self._context.oracle.job_submitted(name, answer.status))
 
     def _cancel(self, name: str) -> None:
         self._call(
-            "DELETE", name, lambda: lambda answer: self._line.oracle.job_cancelled(name, answer.status, answer.body)
+            "DELETE", name, lambda: lambda answer: self._context.oracle.job_cancelled(name, answer.status, answer.body)
         )
 
     def _read(self, name: str) -> None:
-        oracle = self._line.oracle
+        oracle = self._context.oracle
 
         def expect() -> Judge:
             acknowledged, cancelled = name in oracle.acknowledged_jobs, name in oracle.cancelled_jobs
@@ -311,19 +205,19 @@
 class Reader:
     """Reads the configuration again and again."""
 
-    def __init__(self, line: Line) -> None:
-        self._line = line
+    def __init__(self, context: CallContext) -> None:
+        self._context = context
         self.until = 0.0
 
     def start(self) -> None:
-        self._line.timeline.after(self._line.random.uniform(*LOOK_S), self._act)
+        self._context.timeline.after(self._context.random.uniform(*LOOK_S), self._act)
 
     def _act(self) -> None:
         def done(answer: CallAnswer | None) -> None:
-            if self._line.timeline.now < self.until:
+            if self._context.timeline.now < self.until:
                 self.start()
 
-        read_configuration(self._line, done)
+        read_configuration(self._context, done)
 
 
 class _FollowerLink:
@@ -349,8 +243,8 @@
     """A dispatcher as far as the configuration goes: it follows the stream of whoever serves, also of a head that does
     not know yet that another one has taken over."""
 
-    def __init__(self, line: Line, number: int) -> None:
-        self._line, self._name = line, f"d{number}"
+    def __init__(self, context: CallContext, number: int) -> None:
+        self._context, self._name = context, f"d{number}"
         self.held = HeldConfiguration()
         self._epoch = 0
         self._link: _FollowerLink | None = None
@@ -360,18 +254,18 @@
         self._later(REJOIN_S, self._connect)
 
     def _later(self, span_s: tuple[float, float], call: Callable[[], None]) -> None:
-        self._line.timeline.after(self._line.random.uniform(*span_s), call)
+        self._context.timeline.after(self._context.random.uniform(*span_s), call)
 
     def _connect(self) -> None:
-        line = self._line
-        if line.timeline.now > line.ends_at:
+        context = self._context
+        if context.timeline.now > context.ends_at:
             return
-        serving = [machine.process for machine in line.directory.machines() if machine.process is not None]
+        serving = [machine.process for machine in context.directory.machines() if machine.process is not None]
         heads = [process for process in serving if process.is_serving and process.epoch >= self._epoch]
         if not heads:
             self.start()
             return
-        process = line.random.choice(heads)
+        process = context.random.choice(heads)
         link = self._link = _FollowerLink(self, process)
         hello = CallerHello(self._name, 0, self.held.version, self.held.place, True)
         process.post(lambda: self._join(link, hello), self)
@@ -389,10 +283,10 @@
 
     def sent(self, link: _FollowerLink, update: ConfigurationUpdate) -> None:
         """A process has sent a configuration; it is judged as it leaves."""
-        line = self._line
-        line.oracle.streamed.told(update)
-        link.last_at = max(line.timeline.now + line.random.uniform(*DELAY_S), link.last_at)
-        line.timeline.after(link.last_at - line.timeline.now, lambda: self._receive(link, update))
+        context = self._context
+        context.oracle.streamed.told(update)
+        link.last_at = max(context.timeline.now + context.random.uniform(*DELAY_S), link.last_at)
+        context.timeline.after(link.last_at - context.timeline.now, lambda: self._receive(link, update))
 
     def _receive(self, link: _FollowerLink, update: ConfigurationUpdate) -> None:
         if not link.open or link is not self._link:
@@ -406,10 +300,10 @@
 
     def _part(self, link: _FollowerLink) -> None:
         """Connections end by chance; in a calm time only where the process does not serve any more."""
-        line = self._line
+        context = self._context
         if not link.open:
             return
-        calm = line.timeline.now >= line.answered_from
+        calm = context.timeline.now >= context.answered_from
         if calm and link.process.is_serving and link.process.epoch >= self._epoch:
             self._later(REJOIN_S, lambda: self._part(link))
             return
--- a/millethead/lab/core_world.py
+++ b/millethead/lab/core_world.py
@@ -11,7 +11,8 @@
 from functools import partial
 from random import Random
 
-from millethead.lab.core_clients import ANSWER_S, Client, Follower, Line, Operator, Reader, Submitter
+from millethead.lab.core_calls import ANSWER_S, CallContext
+from millethead.lab.core_clients import Client, Follower, Operator, Reader, Submitter
 from millethead.lab.core_cluster import Cluster
 from millethead.lab.core_machine import Machine, Surroundings
 from millethead.lab.core_network import Network
@@ -90,14 +91,14 @@
         self.cluster = Cluster(around, self.oracle)
         self.cluster.begin(members, relays=1 if self.random.random() < 0.2 else 0)
         self.troubles = Troubles(self.cluster, settings.gap_s, settings.trouble_s)
-        line = Line(self.timeline, self.random, self.cluster, self.oracle, self.troubles.acknowledged)
-        self.operators = [Operator(line, name) for name in ("north", "south")]
-        self.submitters = [Submitter(line, number) for number in range(2)]
-        self.readers = [Reader(line) for _ in range(4)]
-        self.followers = [Follower(line, number) for number in range(3)]
+        context = CallContext(self.timeline, self.random, self.cluster, self.oracle, self.troubles.acknowledged)
+        self.operators = [Operator(context, name) for name in ("north", "south")]
+        self.submitters = [Submitter(context, number) for number in range(2)]
+        self.readers = [Reader(context) for _ in range(4)]
+        self.followers = [Follower(context, number) for number in range(3)]
         self._calm_at = settings.trouble_s + BACK_S
         self._end = self._calm_at + CALM_S
-        line.answered_from, line.ends_at = self._calm_at + SERVING_S, self._end - QUIET_S
+        context.answered_from, context.ends_at = self._calm_at + SERVING_S, self._end - QUIET_S
         self._served_at = 0.0
         self._not_serving_at = 0.0
 
