Keep the record of a reservation beside those of steps and pools

Cause: state and reservation imported each other, one of them for types alone. Change: Reservation stands in scheduling/state.py; the known circle is down to state and placement, and tests/test_imports.py says so.

--- a/millethead/scheduling/reservation.py
+++ b/millethead/scheduling/reservation.py
@@ -15,7 +15,7 @@
 
 from millethead.execution.messages import Resources
 from millethead.scheduling.placement import Demand, Host, fit_count, plus, share, times
-from millethead.scheduling.state import Pool, Run, Step
+from millethead.scheduling.state import Pool, Reservation, Run, Step
 
 LEAST_PATIENCE_S, PATIENCE_SHARE = 1.0, 0.15  # a large unit waits so long, or this part of its objective
 LARGE_SHARE = 0.2  # part of the largest host from which a task is large
@@ -29,26 +29,6 @@
 LATE_TIMES = 3.0  # times its objective after which a job earns nothing
 
 
-@dataclass(slots=True, eq=False)
-class Reservation:
-    """Room kept for a step: `shares` says how much at which instance."""
-
-    step: Step
-    start_at: float
-    shares: dict[str, Resources]
-    preempts: bool = False  # runs are being stopped for it
-
-    @property
-    def holder(self) -> object:
-        """The step for which it is kept."""
-        return self.step
-
-    @property
-    def priority(self) -> int:
-        """The priority of the step's queue."""
-        return self.step.flow.spec.priority
-
-
 @dataclass(frozen=True, slots=True)
 class Plan:
     """When `counts` tasks of a step could start at each instance, by estimate."""
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -12,16 +12,12 @@
 from dataclasses import dataclass, field
 from itertools import islice
 from math import inf
-from typing import TYPE_CHECKING
 
 from millethead.execution.messages import Resources
 from millethead.scheduling.model import PendingStep, PendingTask, QueueSpec, StepKey, WaitReason
 from millethead.scheduling.placement import NOTHING, UNBOUNDED, Demand, Host, Hosts, plus, share, times
 from millethead.scheduling.tags import ArrivalRate, TagSchedule
 
-if TYPE_CHECKING:
-    from millethead.scheduling.reservation import Reservation
-
 HOPELESS_SHARE = 0.8  # part of the chain by estimate without which a step cannot be in time; estimates are rough
 LATE_SHARE = 1.2  # part of the chain by estimate that must fit before the objective: room turns over, runs fail
 ESTIMATE_MOVE = 0.05  # how far the means of a queue move with each step; the first ones count alike
@@ -286,6 +282,26 @@
         return rate * FLOOR_STEP**self.spec.priority, rate * WEIGHT_STEP**-self.spec.priority / self.slack
 
 
+@dataclass(slots=True, eq=False)
+class Reservation:
+    """Room kept for a step: `shares` says how much at which instance."""
+
+    step: Step
+    start_at: float
+    shares: dict[str, Resources]
+    preempts: bool = False  # runs are being stopped for it
+
+    @property
+    def holder(self) -> object:
+        """The step for which it is kept."""
+        return self.step
+
+    @property
+    def priority(self) -> int:
+        """The priority of the step's queue."""
+        return self.step.flow.spec.priority
+
+
 @dataclass(slots=True, eq=False)
 class Pool:
     """The workers of one service and the queues that compete for them.
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -9,9 +9,7 @@
 
 PACKAGE = Path(millethead.__file__).parent
 # The scheduler's records refer to each other both ways; at run time nothing of this is imported in a circle.
-BY_TYPES_ALONE = {
-    frozenset({"millethead.scheduling.placement", "millethead.scheduling.reservation", "millethead.scheduling.state"})
-}
+BY_TYPES_ALONE = {frozenset({"millethead.scheduling.placement", "millethead.scheduling.state"})}
 
 
 def module_name(path: Path) -> str:
