Disk times are of the disk alone; each change of view is logged with its cause

The log of the untouched code shows that each head deposes itself: it adopts a view without itself before any other member has it (11.8896 to 12.3251 s: epoch 7 and 8). A head hands over where its own writes take over 160 ms, and the time of a write was measured on the event loop, from the call to the callback. A new head has 160 agents to welcome; its loop is held up for longer than that, so it took its own disk for slow, and the next member had the same work to do. Change: the writer's thread tells SyncTimes when the disk is given work and when that is done. The wait behind earlier writes counts, the wait of a thread or of the loop for a processor does not. Planning returns typed proposals with their cause and with who is left out and why; `view_proposed` logs them.

--- a/millethead/lab/core_machine.py
+++ b/millethead/lab/core_machine.py
@@ -22,6 +22,7 @@
 from millethead.programs.disk_maintenance import DiskMaintenance
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import ChainHello
+from millethead.replication.proposal import ViewProposal
 from millethead.replication.replica import Replica, ReplicaSettings
 from millethead.replication.view import ChainMember, Member, View
 from millethead.rollout.register import Kept
@@ -47,6 +48,8 @@
 
     def view_adopted(self, process: CoreProcess, view: View) -> None: ...
 
+    def proposed(self, process: CoreProcess, proposal: ViewProposal) -> None: ...
+
 
 @dataclass(slots=True)
 class DiskCondition:
@@ -344,6 +347,9 @@
     def synced_to_head(self) -> None:
         """Nothing to be done."""
 
+    def proposing(self, proposal: ViewProposal) -> None:
+        self._around.watcher.proposed(self, proposal)
+
     def view_changed(self, view: View) -> None:
         self._around.watcher.view_adopted(self, view)
         if self.storage is not None:
--- a/millethead/lab/core_storage.py
+++ b/millethead/lab/core_storage.py
@@ -174,7 +174,7 @@
     # ---- jobs --------------------------------------------------------------------------------------------
 
     def append(self, entries: Sequence[Entry], durable: Callable[[], None]) -> None:
-        self.writer.append(entries, self._sync_times.timed(durable))
+        self.writer.append(entries, durable)
         self._wake()
 
     def truncate(self, sequence: int) -> None:
@@ -182,7 +182,7 @@
         self._wake()
 
     def install(self, snapshot: Snapshot, durable: Callable[[], None]) -> None:
-        self.writer.install(snapshot, self._sync_times.timed(durable))
+        self.writer.install(snapshot, durable)
         self._wake()
 
     def rewrite(self, snapshot: Snapshot) -> None:
@@ -212,7 +212,7 @@
         self._wake()
 
     def save(self, kept: Kept, done: Callable[[], None]) -> None:
-        self.writer.run(lambda: self._acceptor.save(kept), self._sync_times.timed(done))
+        self.writer.run(lambda: self._acceptor.save(kept), done, timed=True)
         self._wake()
 
     def bootstrap_done(self) -> None:
@@ -226,7 +226,7 @@
 
     def latency_ms(self) -> int:
         """The longest sync lately, or how long the present one is pending if that is more."""
-        return BROKEN_MS if self.broken else self._sync_times.latency_ms(self.writer.pending_since)
+        return BROKEN_MS if self.broken else self._sync_times.latency_ms()
 
     def _failed(self, error: OSError) -> None:
         self.broken = True
@@ -234,8 +234,10 @@
     # ---- the writer's thread -----------------------------------------------------------------------------
 
     def _wake(self) -> None:
-        if not self._working and not self.writer.broken and self.writer.pending_since is not None:
+        waiting_since = self.writer.pending_since
+        if not self._working and not self.writer.broken and waiting_since is not None:
             self._working = True
+            self._sync_times.started(waiting_since)
             sync_s = self._sync_s()
             self._stepped = sync_s < SHORT_S and self._random.random() < EARLY
             if self._stepped:
@@ -245,6 +247,7 @@
     def _synced(self) -> None:
         if not self._stepped:
             self.writer.step()
+        self._sync_times.finished()
         due, self._due = self._due, []
         self._working = False
         for call in due:
--- a/millethead/lab/core_watch.py
+++ b/millethead/lab/core_watch.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 from millethead.lab.core_durability import accepted_view, disk_identity, holds_entry
 from millethead.lab.core_machine import CoreProcess, Machine
 from millethead.lab.core_oracle import Oracle, Violation
+from millethead.replication.proposal import ViewProposal
 from millethead.replication.view import Member, View
 from millethead.storage.log import Entry
 
 DISKS_READ = 0.25  # part of the commits at which the disks are read
 
 
+@dataclass(frozen=True, slots=True)
+class Proposed:
+    """A view that a member has asked the voters for."""
+
+    address: str
+    proposal: ViewProposal
+
+
 class CoreWatch:
-    """`view_agreed` is called when a view is adopted for the first time."""
+    """`view_agreed` is called when a view is adopted for the first time. `proposals`: all that were made."""
 
     def __init__(
         self,
@@ -25,6 +35,7 @@
         view_agreed: Callable[[], None],
     ) -> None:
         self._oracle, self._random, self._machines, self._view_agreed = oracle, random, machines, view_agreed
+        self.proposals: list[Proposed] = []
 
     def appended(self, process: CoreProcess, before: tuple[int, int], entry: Entry) -> None:
         """A process has taken an entry behind the one of this epoch and sequence."""
@@ -50,6 +61,10 @@
                     f"entry {sequence} of epoch {epoch} is committed, and not on the disk of {place.member.address}"
                 )
 
+    def proposed(self, process: CoreProcess, proposal: ViewProposal) -> None:
+        """A process asks the voters for a view."""
+        self.proposals.append(Proposed(process.address, proposal))
+
     def view_adopted(self, process: CoreProcess, view: View) -> None:
         """A process holds a view for agreed."""
         first = view.epoch not in self._oracle.views
--- a/millethead/programs/control.py
+++ b/millethead/programs/control.py
@@ -32,6 +32,7 @@
 from millethead.replication.chain_ports import Role
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import ChainHello
+from millethead.replication.proposal import ViewProposal
 from millethead.replication.replica import Replica, ReplicaSettings
 from millethead.replication.view import Member, View
 from millethead.rollout.register import Kept
@@ -255,6 +256,16 @@
     def synced_to_head(self) -> None:
         log.info("replica_reconciled", epoch=self._replica.view.epoch, entry=self._replica.chain.log.last[1])
 
+    def proposing(self, proposal: ViewProposal) -> None:
+        log.info(
+            "view_proposed",
+            epoch=proposal.view.epoch,
+            cause=proposal.cause.value,
+            chain=",".join(place.member.address for place in proposal.view.chain),
+            departed=",".join(str(departed) for departed in proposal.departed),
+            disk_ms=proposal.disk_ms,
+        )
+
     def view_changed(self, view: View) -> None:
         log.info(
             "view",
--- a/millethead/programs/core_disk.py
+++ b/millethead/programs/core_disk.py
@@ -100,7 +100,7 @@
     def start(self, post: Callable[[Callable[[], None]], None], clock: Callable[[], float]) -> None:
         """Begin to take writes."""
         self._clock, self._sync_times = clock, SyncTimes(clock)
-        self._writer = LogWriter(self._log, post, self._failed)
+        self._writer = LogWriter(self._log, post, self._failed, clock=clock, times=self._sync_times)
 
     def _failed(self, error: OSError) -> None:
         log.error("disk_failed", why=str(error))
@@ -127,10 +127,10 @@
     # ---- jobs --------------------------------------------------------------------------------------------
 
     def append(self, entries: Sequence[Entry], durable: Callable[[], None]) -> None:
-        self.writer.append(entries, self._sync_times.timed(durable))
+        self.writer.append(entries, durable)
 
     def install(self, snapshot: Snapshot, durable: Callable[[], None]) -> None:
-        self.writer.install(snapshot, self._sync_times.timed(durable))
+        self.writer.install(snapshot, durable)
 
     def truncate(self, sequence: int) -> None:
         self.writer.truncate(sequence)
@@ -140,11 +140,11 @@
         self.writer.rewrite(snapshot, ())
 
     def save(self, kept: Kept, done: Callable[[], None]) -> None:
-        self.writer.run(lambda: self._store.save(kept), self._sync_times.timed(done))
+        self.writer.run(lambda: self._store.save(kept), done, timed=True)
 
     def probe(self) -> None:
         """Time a write: a sync of nothing new says nothing of a slow disk."""
-        self.writer.run(self._check_writes, self._sync_times.timed(lambda: None))
+        self.writer.run(self._check_writes, lambda: None, timed=True)
 
     def bootstrap_done(self) -> None:
         """Remember that the first start of the whole system is over."""
@@ -167,7 +167,7 @@
 
     def latency_ms(self) -> int:
         """The longest sync lately, or how long the present one is pending if that is more."""
-        return BROKEN_MS if self.broken else self._sync_times.latency_ms(self.writer.pending_since)
+        return BROKEN_MS if self.broken else self._sync_times.latency_ms()
 
 
 def open_disk(folder: Path, bootstrap: bool = False) -> CoreDisk:
--- a/millethead/replication/agreement.py
+++ b/millethead/replication/agreement.py
@@ -87,11 +87,11 @@
         """The newest view that this member's acceptor has accepted; it may not be agreed."""
         return decode_view(self._acceptor.kept.value)
 
-    def propose(self, now: float, expected: int, wanted: View, voters: tuple[Member, ...]) -> None:
-        """Try to put `wanted` in the place of the view of epoch `expected`; does nothing while a round is under way
-        or its pause lasts. However it ends, the agreed view is handed to `adopted`."""
+    def propose(self, now: float, expected: int, wanted: View, voters: tuple[Member, ...]) -> bool:
+        """Try to put `wanted` in the place of the view of epoch `expected`; does nothing, and returns false, while a
+        round is under way or its pause lasts. However it ends, the agreed view is handed to `adopted`."""
         if self._attempt is not None or now < self._not_before:
-            return
+            return False
 
         def change(old: bytes) -> bytes:
             if decode_view(old).epoch != expected:
@@ -103,6 +103,7 @@
         names = tuple(voter.name for voter in voters)
         self._attempt = _Attempt(Round(ballot, names, change, _voter_names), now, now)
         self._ask(now)
+        return True
 
     def tick(self, now: float) -> None:
         """Put the question again, or give the round up."""
--- a/millethead/replication/planning.py
+++ b/millethead/replication/planning.py
@@ -10,6 +10,7 @@
 
 from millethead.replication.liveness import ANSWERED_X, SETTLED_S, Liveness
 from millethead.replication.messages import Heartbeat
+from millethead.replication.proposal import Departed, Departure, ViewCause, ViewProposal
 from millethead.replication.view import ChainMember, Member, View, next_view
 
 SLOW_DISK_MS = 160  # a member whose syncs take longer leaves the chain where the rest is enough
@@ -60,30 +61,37 @@
     return identity is not None and identity[0] == member and liveness.joined_both_ways(now, member.address)
 
 
-def head_is_well(now: float, view: View, me: Myself, liveness: Liveness) -> bool:
-    """Whether the head of the view still runs and a majority of the voters that this member hears still hears it."""
+def head_failure(now: float, view: View, me: Myself, liveness: Liveness) -> ViewCause | None:
+    """What is wrong with the head of the view; None where it still runs and a majority of the voters that this member
+    hears still hears it."""
     head = view.head
     if head is None:
-        return False
+        return ViewCause.HEAD_ENDED
     if head.member == me.member:
-        return head.incarnation == me.incarnation
+        return None if head.incarnation == me.incarnation else ViewCause.HEAD_RESTARTED
     if liveness.has_ended(head.member.address, head.incarnation):
-        return False
+        return ViewCause.HEAD_ENDED
     contact = liveness.contact(head.member.address)
     if contact is not None and now - contact.heard_at <= liveness.suspect_s:
         beat = contact.heartbeat
         if beat.sender != head.member or beat.incarnation != head.incarnation:
-            return False
+            return ViewCause.HEAD_RESTARTED
         if beat.leaving:
-            return False
+            return ViewCause.HEAD_LEAVING
         # a head that is heard, but hears no majority itself, cannot commit
-        return _heard_by_head(now, view, contact.ages, liveness.suspect_s)
+        joined = _heard_by_head(now, view, contact.ages, liveness.suspect_s)
+        return None if joined else ViewCause.HEAD_ISOLATED
     hearing = sum(
         voter != head.member and liveness.hears(now, voter.address, head.member.address)
         for voter in view.voters
         if voter != me.member
     )
-    return hearing + 1 >= view.majority()
+    return None if hearing + 1 >= view.majority() else ViewCause.HEAD_SILENT
+
+
+def head_is_well(now: float, view: View, me: Myself, liveness: Liveness) -> bool:
+    """Whether nothing is wrong with the head of the view."""
+    return head_failure(now, view, me, liveness) is None
 
 
 def _heard_by_head(now: float, view: View, ages: dict[str, float], suspect_s: float) -> bool:
@@ -208,21 +216,51 @@
     return live - (voters // 2 + 1)
 
 
-def plan_as_head(now: float, view: View, me: Myself, liveness: Liveness) -> View | None:
+def plan_as_head(now: float, view: View, me: Myself, liveness: Liveness) -> ViewProposal | None:
     """At the head: the view to propose, if any."""
     if not in_touch_with_majority(now, view, me, liveness):
         return None
     chain = wanted_chain(now, view, me, liveness)
     voters = wanted_voters(now, view, me, liveness)
     if len(chain) < me.least_chain <= len(view.chain) and not me.leaving:
-        return _more_voters(view, voters)
+        more = _more_voters(view, voters)
+        return ViewProposal(more, ViewCause.VOTERS, (), me.disk_ms) if more is not None else None
     same = [(place.member, place.incarnation) for place in chain] == [
         (place.member, place.incarnation) for place in view.chain
     ]
     if same and voters == view.voters:
         return None
     chain = tuple(place for place in chain if place.member in voters) or chain
-    return next_view(view, chain, voters)
+    wanted = next_view(view, chain, voters)
+    return ViewProposal(wanted, _cause_at_head(wanted, me, same), _departed(now, view, wanted, liveness), me.disk_ms)
+
+
+def _cause_at_head(wanted: View, me: Myself, same_chain: bool) -> ViewCause:
+    if wanted.place(me.member) is None:
+        return ViewCause.LEAVING if me.leaving else ViewCause.OWN_DISK_SLOW
+    return ViewCause.VOTERS if same_chain else ViewCause.MEMBERS
+
+
+def _departed(now: float, view: View, wanted: View, liveness: Liveness) -> tuple[Departed, ...]:
+    """Which members of the chain are not in the wanted one as the process that they were, and why."""
+    kept = {(place.member, place.incarnation) for place in wanted.chain}
+    return tuple(
+        Departed(place.member.address, _why_departed(now, place, liveness))
+        for place in view.chain
+        if (place.member, place.incarnation) not in kept
+    )
+
+
+def _why_departed(now: float, place: ChainMember, liveness: Liveness) -> Departure:
+    contact = liveness.contact(place.member.address)
+    if contact is None or now - contact.heard_at > liveness.suspect_s:
+        return Departure.SILENT
+    beat = contact.heartbeat
+    if (beat.sender, beat.incarnation) != (place.member, place.incarnation):
+        return Departure.RESTARTED
+    if beat.leaving:
+        return Departure.LEAVING
+    return Departure.DISK_SLOW if beat.disk_ms > SLOW_DISK_MS else Departure.APART
 
 
 def keeps_chain(view: View, wanted: View) -> bool:
@@ -263,11 +301,14 @@
     return ahead
 
 
-def plan_as_successor(now: float, view: View, me: Myself, liveness: Liveness) -> View | None:
-    """At a member that takes over from a head that is gone: the view to propose, if any."""
+def plan_as_successor(
+    now: float, view: View, me: Myself, liveness: Liveness, failure: ViewCause
+) -> ViewProposal | None:
+    """At a member that takes over from a head that is gone by `failure`: the view to propose, if any."""
     if not in_touch_with_majority(now, view, me, liveness):
         return None
     chain = wanted_chain(now, view, me, liveness)
     if chain[0].member != me.member or len(chain) < min(me.least_chain, len(view.voters)):
         return None
-    return next_view(view, chain)
+    wanted = next_view(view, chain)
+    return ViewProposal(wanted, failure, _departed(now, view, wanted, liveness), me.disk_ms)
--- a/millethead/replication/replica.py
+++ b/millethead/replication/replica.py
@@ -31,13 +31,14 @@
     RANK_DELAY_S,
     RESTART_WAIT_S,
     Myself,
-    head_is_well,
+    head_failure,
     keeps_chain,
     majority_without,
     plan_as_head,
     plan_as_successor,
     rank,
 )
+from millethead.replication.proposal import ViewCause, ViewProposal
 from millethead.replication.view import NO_VIEW, ChainMember, Member, View
 from millethead.rollout.register import Kept
 from millethead.rpc.codec import Record
@@ -67,6 +68,10 @@
 
     def view_changed(self, view: View) -> None: ...
 
+    def proposing(self, proposal: ViewProposal) -> None:
+        """This member asks the voters for a view."""
+        ...
+
     def serving(self, epoch: int) -> None:
         """This member is the head, and everything that was committed before is in its state."""
         ...
@@ -308,13 +313,19 @@
         elif self.chain.role is Role.HEAD:
             wanted = plan_as_head(now, self.view, self.myself(now), self.liveness)
             if wanted is not None:
-                self.register.propose(now, self.view.epoch, wanted, self.view.voters)
+                self._propose(now, self.view.epoch, wanted, self.view.voters)
         else:
             self._succeed(now)
 
+    def _propose(self, now: float, expected: int, proposal: ViewProposal, voters: tuple[Member, ...]) -> None:
+        """Ask the voters for a view in the place of that of epoch `expected`."""
+        if self.register.propose(now, expected, proposal.view, voters):
+            self._ports.proposing(proposal)
+
     def _succeed(self, now: float) -> None:
         me = self.myself(now)
-        if head_is_well(now, self.view, me, self.liveness):
+        failure = head_failure(now, self.view, me, self.liveness)
+        if failure is None:
             self._head_ill_since = None
             return
         if self._head_ill_since is None:
@@ -325,10 +336,12 @@
         ill_s = now - self._head_ill_since
         if ill_s < place * RANK_DELAY_S:
             return
-        wanted = plan_as_successor(now, self.view, me, self.liveness)
-        if wanted is None or (self._just_back(ill_s - place * RANK_DELAY_S) and not keeps_chain(self.view, wanted)):
+        wanted = plan_as_successor(now, self.view, me, self.liveness, failure)
+        if wanted is None:
+            return
+        if self._just_back(ill_s - place * RANK_DELAY_S) and not keeps_chain(self.view, wanted.view):
             return
-        self.register.propose(now, self.view.epoch, wanted, self.view.voters)
+        self._propose(now, self.view.epoch, wanted, self.view.voters)
 
     def _just_back(self, waited_s: float) -> bool:
         """Whether this process is a restarted one, and others that were killed with it may still be starting."""
@@ -342,7 +355,7 @@
         if hint.epoch:
             # a restart: somebody may know a newer one, so the register itself is asked
             if now - self._started >= FIRST_PLAN_S + ASK_STEP_S * _position(hint, self.me):
-                self.register.propose(now, -1, hint, hint.voters)
+                self._propose(now, -1, ViewProposal(hint, ViewCause.RESTARTED), hint.voters)
             return
         if not self.bootstrapping:
             return
@@ -357,7 +370,7 @@
             identity = self.liveness.identity(voter.address)
             if voter != self.me and identity is not None:
                 chain.append(ChainMember(voter, identity[1], 1))
-        self.register.propose(now, 0, View(1, voters, tuple(chain)), voters)
+        self._propose(now, 0, ViewProposal(View(1, voters, tuple(chain)), ViewCause.FIRST_START), voters)
 
     def _first_voters(self) -> tuple[Member, ...] | None:
         """The seeds that have a disk, once all seeds have been heard."""
--- a/millethead/storage/writer.py
+++ b/millethead/storage/writer.py
@@ -16,6 +16,7 @@
 from typing import TypeVar
 
 from millethead.storage.log import Entry, LogFile, Snapshot
+from millethead.storage.sync_times import SyncTimes
 
 GROUP_BYTES = 4 << 20  # no more is added to a group that holds as much, so that other disk jobs get their turn
 
@@ -72,6 +73,7 @@
     since: float
     job: Callback
     done: Callback
+    timed: bool
 
 
 _LogJob = _Append | _Truncate | _Install | _Rewrite
@@ -83,7 +85,7 @@
 
     `post(f)` schedules `f` on the event loop; `failed(error)` is posted once, when a job has failed. From then on
     nothing is done, and `durable` and `done` are no longer called. With `threaded` false nothing is done but by calls
-    of `step`, for a simulation. `clock` gives monotonic seconds.
+    of `step`, for a simulation. `clock` gives monotonic seconds. `times` is told of each write that is done.
     """
 
     def __init__(
@@ -94,7 +96,9 @@
         *,
         clock: Callable[[], float] = time.monotonic,
         threaded: bool = True,
+        times: SyncTimes | None = None,
     ) -> None:
+        self._times = times if times is not None else SyncTimes(clock)
         self._log, self._post_to_loop, self._failed, self._clock = log, post, failed, clock
         self._wake = threading.Condition()  # guards all that follows
         self._state = WriterState.OPEN
@@ -136,9 +140,10 @@
         """Write the log anew; `entries` are all after the snapshot that are to be kept, queued ones too."""
         self._add(self._log_jobs, _Rewrite(self._clock(), snapshot, entries))
 
-    def run(self, job: Callback, done: Callback) -> None:
-        """Do another blocking disk job, in order with others of its sort and before the queued jobs on the log."""
-        self._add(self._runs, _Run(self._clock(), job, done))
+    def run(self, job: Callback, done: Callback, timed: bool = False) -> None:
+        """Do another blocking disk job, in order with others of its sort and before the queued jobs on the log.
+        `timed`: how long it takes tells how fast the disk is."""
+        self._add(self._runs, _Run(self._clock(), job, done, timed))
 
     def close(self, timeout: float | None = None) -> None:
         """Finish what is queued; waits for it, at most `timeout` seconds. The log stays open."""
@@ -156,6 +161,7 @@
             run, group = self._take()
         if run is None and not group:
             return False
+        self._times.started(run.since if run is not None else group[0].since)
         try:
             if run is not None:
                 run.job()
@@ -169,6 +175,7 @@
             failure.__cause__ = error
             self._break(failure)
         finally:
+            self._times.finished(_is_timed(run, group))
             with self._wake:
                 self._working_since = None
         return True
@@ -242,6 +249,13 @@
             self._post_to_loop(callback)
 
 
+def _is_timed(run: _Run | None, group: Sequence[_LogJob]) -> bool:
+    """Whether work on the disk tells how fast it is: somebody waits for it, and it is bounded."""
+    if run is not None:
+        return run.timed
+    return any(isinstance(job, _Append | _Install) for job in group)
+
+
 def _call_all(callbacks: Sequence[Callback]) -> None:
     for callback in callbacks:
         callback()
