Promises in two copies, saves that wait are one write; losses of every kind by phase

A promise that went bad before the next scrub was not told from a torn write. 2. RegisterFile: two slots with two copies, the second written after the answer; both bad: the disk is not believed. The identity has two copies in one file. Files of earlier versions are read. The emulated core uses the program's own file, and bits rot in copies too. 2. An entry of an epoch in the log shows that its view was agreed, also after a restart; the extra view that let outgoing voters go is gone. RegisterWriter: saves that wait for the disk are one write. 3. The oracle compares with what was committed in earlier epochs. Tests whose assertions changed: an identity with one bad byte was asserted to be corrupt; it is read from its other copy now, and corrupt where both are bad. Tests of Store.repair are tests of RegisterFile.repair.

--- a/millethead/lab/core_durability.py
+++ b/millethead/lab/core_durability.py
@@ -5,14 +5,19 @@
 
 from pathlib import Path
 
-from millethead.lab.core_storage import ACCEPTOR_NAME, FOLDER, AcceptorFile
+from millethead.lab.core_storage import FOLDER
 from millethead.lab.disk import SimulatedDisk
+from millethead.programs.core_disk import ACCEPTOR_NAME
 from millethead.replication.agreement import decode_view
 from millethead.replication.view import View
+from millethead.rollout.store import PLACE
 from millethead.storage import identity as identities
-from millethead.storage.identity import IDENTITY_NAME
+from millethead.storage.identity import COPY_AT, IDENTITY_NAME
 from millethead.storage.log import LOG_NAME, CorruptLog, LogFile
 from millethead.storage.records import Header, read_header
+from millethead.storage.register_file import SLOTS, RegisterFile
+
+COPY_BYTES = 16  # of each copy, in which a bit that goes bad is noticed
 
 
 def lasting_bytes(disk: SimulatedDisk, path: Path) -> bytes | None:
@@ -33,7 +38,7 @@
 def disk_identity(disk: SimulatedDisk) -> int:
     """The number of the disk, or 0 where it has none yet."""
     data = lasting_bytes(disk, FOLDER / IDENTITY_NAME)
-    return 0 if data is None else identities._decode(data).disk_id
+    return 0 if data is None else identities.decode_identity(data).disk_id
 
 
 def holds_entry(disk: SimulatedDisk, epoch: int, sequence: int) -> bool:
@@ -53,7 +58,21 @@
 def accepted_view(disk: SimulatedDisk) -> View:
     """The view that the disk's acceptor has accepted."""
     copy = _copy(disk, ACCEPTOR_NAME)
-    return decode_view(b"" if copy is None else AcceptorFile(copy).load().value)
+    return decode_view(b"" if copy is None else RegisterFile(copy, FOLDER / ACCEPTOR_NAME).read().value)
+
+
+def equal_copies(disk: SimulatedDisk) -> list[tuple[Path, int]]:
+    """Where the copies lie that have an equal one: of the identity, and of the acceptor's places."""
+    found: list[tuple[Path, int]] = []
+    for name, distance, starts in (
+        (IDENTITY_NAME, COPY_AT, (0,)),
+        (ACCEPTOR_NAME, SLOTS * PLACE, tuple(slot * PLACE for slot in range(SLOTS))),
+    ):
+        data = lasting_bytes(disk, FOLDER / name) or b""
+        for start in starts if data else ():
+            if data[start : start + COPY_BYTES] == data[start + distance : start + distance + COPY_BYTES]:
+                found += [(FOLDER / name, start), (FOLDER / name, start + distance)]
+    return found
 
 
 def rot_offsets(disk: SimulatedDisk) -> range:
--- a/millethead/lab/core_world.py
+++ b/millethead/lab/core_world.py
@@ -79,7 +79,11 @@
         self.history.members = members
         self.oracle = Oracle(tolerated + 1)
         watch = CoreWatch(
-            self.oracle, self.random, lambda: self.cluster.machines(), lambda: self.troubles.view_agreed()
+            self.oracle,
+            self.random,
+            lambda: self.cluster.machines(),
+            lambda: self.troubles.view_agreed(),
+            lambda: self.timeline.now,
         )
         around = Surroundings(
             self.timeline,
--- a/millethead/programs/control.py
+++ b/millethead/programs/control.py
@@ -14,24 +14,19 @@
 
 from millethead.configuration.settings import InvalidSettings, ProcessSettings, load_settings
 from millethead.control.admission import MB, most_job_bytes
-from millethead.control.agents import AgentSession
-from millethead.control.calls import CallerHello, CallerPing, CallerPong, CallerWelcome
 from millethead.control.client import HeadCaller
-from millethead.control.configuration_stream import Caller
 from millethead.control.head import Head
 from millethead.control.state import ControlState
-from millethead.execution.messages import AgentHello, AgentTurnedAway
 from millethead.programs.addresses import internal_address, seed_addresses, split_address
 from millethead.programs.chain_links import ChainLinks
 from millethead.programs.control_figures import head_figures, member_figures
 from millethead.programs.core_disk import REVIVE_S, CoreDisk, DiskUnusable, await_disk, open_disk
+from millethead.programs.core_sessions import CoreSessions
 from millethead.programs.disk_maintenance import DiskMaintenance
 from millethead.programs.loop_ports import DatagramSocket, LoopClock
 from millethead.programs.operator_api import operator_app
 from millethead.programs.signals import on_signals
-from millethead.replication.chain_ports import Role
 from millethead.replication.log import ReplicatedLog
-from millethead.replication.messages import ChainHello
 from millethead.replication.proposal import ViewProposal
 from millethead.replication.replica import Replica, ReplicaSettings
 from millethead.replication.view import Member, View
@@ -48,8 +43,6 @@
 
 HANDOVER_SHARE = 0.5  # of grace_s, for handing over at SIGTERM
 OPERATOR_BODY_BYTES = 8 << 20
-# Bytes of the largest frame by who sends it, once its first record has told.
-MEMBER_FRAME, CALLER_FRAME, AGENT_FRAME = 16 << 20, OPERATOR_BODY_BYTES + (64 << 10), 4 << 20
 SHORTEST_TICK_S = 0.005
 HELD_UP_LOGGED_S = 0.2  # the log tells of a loop that was held up for so long
 INPUT_SHARE = 0.125  # of the memory, for frames of all connections that are not whole yet
@@ -76,9 +69,8 @@
         self._head_tick = 0.0
         self._tick_due = self._loop.time()
         self._maintenance: DiskMaintenance | None = None
-        # what came on each connection; a hello waits for this member to be the head
-        self._sessions: dict[Connection, Caller | AgentSession | CallerHello | AgentHello | None] = {}
         self._links = ChainLinks(lambda: self._replica)
+        self._sessions = CoreSessions(lambda: self._replica, self._links)
         self._input = InputBudget(int(INPUT_SHARE * settings.limits.memory_mb * MB))
         self._caller = HeadCaller(settings.node, self._caller_seeds, self._random)
         self._http = HttpServer(
@@ -126,9 +118,10 @@
         if self._disk is not None:
             self._start_disk(self._disk)
         host, port = split_address(self._address)
+        sessions = self._sessions
         # connections first: whoever is heard listens, so that a refused connection tells of its end
         self._server = await self._loop.create_server(
-            lambda: Connection(self._received, self._closed, self._opened, self._input, self._slices),
+            lambda: Connection(sessions.received, sessions.closed, sessions.opened, self._input, self._slices),
             host,
             port,
             backlog=512,
@@ -295,11 +288,7 @@
         )
         if self._disk is not None:
             self._disk.bootstrap_done()
-        for connection, session in list(self._sessions.items()):
-            if isinstance(session, CallerHello):
-                connection.send(CallerWelcome(view, False))
-            elif isinstance(session, AgentHello):
-                self._turn_agent_away(connection)
+        self._sessions.view_changed(view)
 
     def serving(self, epoch: int) -> None:
         log.info("head_serving", epoch=epoch)
@@ -314,11 +303,7 @@
             most_job_bytes(self._settings.limits.memory_mb, self._settings.limits.disk_mb),
         )
         self._head_tick = 0.0
-        for connection, session in list(self._sessions.items()):
-            if isinstance(session, CallerHello):
-                self._sessions[connection] = self._head.caller_hello(connection, session)
-            elif isinstance(session, AgentHello):
-                self._sessions[connection] = self._head.agent_hello(connection, session)
+        self._sessions.begin(self._head)
 
     def leads_on(self, view: View) -> None:
         assert self._head is not None
@@ -330,11 +315,7 @@
         if head is None:
             return
         log.info("head_deposed", epoch=head.view.epoch)
-        for connection, session in list(self._sessions.items()):
-            if isinstance(session, Caller):
-                self._sessions[connection] = session.hello()
-            elif isinstance(session, AgentSession):
-                self._sessions[connection] = session.hello
+        self._sessions.end()
         head.close()
 
     # ---- datagrams and connections -----------------------------------------------------------------------
@@ -345,70 +326,3 @@
         except CodecError:
             return
         self._replica.receive(self._loop.time(), record, sender)
-
-    def _opened(self, connection: Connection) -> None:
-        self._sessions[connection] = None
-
-    def _received(self, connection: Connection, record: Record) -> None:
-        """A record on a connection that another program has opened."""
-        if connection in self._links:
-            self._links.received(connection, record)
-            return
-        session = self._sessions.get(connection)
-        if session is None:
-            self._first_record(connection, record)
-        elif self._head is not None and isinstance(session, Caller):
-            self._head.caller_record(session, record)
-        elif self._head is not None and isinstance(session, AgentSession):
-            self._head.agent_record(session, record)
-        elif isinstance(session, CallerHello) and isinstance(record, CallerPing):
-            view = self._replica.view
-            current = record.epoch == view.epoch and not record.serving
-            connection.send(CallerPong() if current else CallerWelcome(view, False))
-
-    def _first_record(self, connection: Connection, record: Record) -> None:
-        match record:
-            case ChainHello():
-                connection.most_frame, connection.urgent = MEMBER_FRAME, True
-                self._sessions.pop(connection, None)
-                self._links.taken(connection)
-                self._links.received(connection, record)
-            case CallerHello():
-                connection.most_frame = CALLER_FRAME
-                if self._head is not None:
-                    self._sessions[connection] = self._head.caller_hello(connection, record)
-                else:
-                    self._sessions[connection] = record
-                    connection.send(CallerWelcome(self._replica.view, False))
-            case AgentHello():
-                self._agent_hello(connection, record)
-            case _:
-                connection.close()
-
-    def _agent_hello(self, connection: Connection, hello: AgentHello) -> None:
-        connection.most_frame = AGENT_FRAME
-        if self._head is not None:
-            self._sessions[connection] = self._head.agent_hello(connection, hello)
-            return
-        self._sessions[connection] = hello
-        self._turn_agent_away(connection)
-
-    def _turn_agent_away(self, connection: Connection) -> None:
-        """Unless this member is to be the head in a moment, name the one that is."""
-        if self._replica.chain.role is Role.HEAD:
-            return
-        view = self._replica.view
-        connection.send(AgentTurnedAway(view.epoch, self._replica.head_address, view.addresses()))
-        connection.close()
-
-    def _closed(self, connection: Connection) -> None:
-        if connection in self._links:
-            self._links.closed(connection)
-            return
-        session = self._sessions.pop(connection, None)
-        if self._head is None:
-            return
-        if isinstance(session, Caller):
-            self._head.caller_gone(session)
-        elif isinstance(session, AgentSession):
-            self._head.agent_gone(session)
--- a/millethead/programs/core_disk.py
+++ b/millethead/programs/core_disk.py
@@ -10,9 +10,8 @@
 
 import structlog
 
-from millethead.config import ConfigError
 from millethead.rollout.register import Kept
-from millethead.rollout.store import DamagedStore, Store
+from millethead.storage.files import OS_FILES
 from millethead.storage.identity import (
     DiskIdentity,
     bootstrap_done,
@@ -21,6 +20,8 @@
     repair_identity,
 )
 from millethead.storage.log import CorruptLog, Entry, LogFile, Recovered, Snapshot
+from millethead.storage.register_file import RegisterFile
+from millethead.storage.register_writer import RegisterWriter
 from millethead.storage.scrubber import Scrubber
 from millethead.storage.sync_times import SyncTimes
 from millethead.storage.writer import LogWriter
@@ -29,7 +30,7 @@
 
 REVIVE_S = 0.5  # between tries of a disk that takes no writes
 BROKEN_MS = 60_000  # told as the time of a sync while the disk takes no writes
-ACCEPTOR = "view"  # name of the acceptor's file
+ACCEPTOR_NAME = "view.agreed"  # the acceptor's file
 TRIAL, TRIAL_BYTES = "trial", 16_384  # a file that is written and removed to see whether the disk takes writes
 
 
@@ -57,9 +58,10 @@
         self._folder, self._random = folder, random
         try:
             self._open_believed(bootstrap)
-        except (OSError, ConfigError) as error:
+        except OSError as error:
             raise DiskUnusable(str(error)) from error
         self._writer: LogWriter | None = None
+        self._register_writer: RegisterWriter | None = None
         self._clock: Callable[[], float] = lambda: 0.0  # until the disk is started
         self._sync_times = SyncTimes(self._clock)
         self.broken = False
@@ -68,9 +70,9 @@
         _make_folder(self._folder)
         try:
             self._open(bootstrap)
-        except (CorruptLog, DamagedStore) as error:
+        except CorruptLog as error:
             log.error("disk_not_believed", why=str(error))
-            discard_disk(self._folder, (f"{ACCEPTOR}.agreed",))
+            discard_disk(self._folder, (ACCEPTOR_NAME,))
             self._open(False)
 
     def _check_writes(self) -> None:
@@ -87,20 +89,20 @@
         self.identity: DiskIdentity = load_identity(self._folder, bootstrap, self._random)
         self._log = LogFile(self._folder)
         self.recovered: Recovered = self._log.recover()
-        self._store = Store(self._folder, ACCEPTOR)
-        self.kept: Kept = self._store.load()
+        self._register = RegisterFile(OS_FILES, self._folder / ACCEPTOR_NAME)
+        self.kept: Kept = self._register.load()
         self._write_anew()
 
     def _write_anew(self) -> None:
         """Write again what was read: a process that was killed may have left it unsynced, and what a failed sync gave
         up can still be read."""
         self._log.rewrite(self.recovered.snapshot or Snapshot(0, 0, b""), self.recovered.entries)
-        self._store.save(self.kept)
 
     def start(self, post: Callable[[Callable[[], None]], None], clock: Callable[[], float]) -> None:
         """Begin to take writes."""
         self._clock, self._sync_times = clock, SyncTimes(clock)
         self._writer = LogWriter(self._log, post, self._failed, clock=clock, times=self._sync_times)
+        self._register_writer = RegisterWriter(self._register, self._writer)
 
     def _failed(self, error: OSError) -> None:
         log.error("disk_failed", why=str(error))
@@ -140,7 +142,8 @@
         self.writer.rewrite(snapshot, ())
 
     def save(self, kept: Kept, done: Callable[[], None]) -> None:
-        self.writer.run(lambda: self._store.save(kept), done, timed=True)
+        assert self._register_writer is not None
+        self._register_writer.save(kept, done)
 
     def probe(self) -> None:
         """Time a write: a sync of nothing new says nothing of a slow disk."""
@@ -162,8 +165,8 @@
         """In the writer's thread, which alone writes them."""
         if repair_identity(self._folder, self.identity):
             log.error("file_repaired", file="identity")
-        if self._store.repair():
-            log.error("file_repaired", file=ACCEPTOR)
+        if self._register.repair():
+            log.error("file_repaired", file=ACCEPTOR_NAME)
 
     def held_up(self, since: float) -> None:
         """The event loop should have gone on at `since`, and does so only now."""
--- a/millethead/programs/offline.py
+++ b/millethead/programs/offline.py
@@ -10,21 +10,20 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from millethead.config import ConfigError
 from millethead.configuration.change import DamagedState
 from millethead.control.state import ControlState
 from millethead.jobs.description import InvalidJob
-from millethead.programs.core_disk import ACCEPTOR
+from millethead.programs.core_disk import ACCEPTOR_NAME
 from millethead.replication.agreement import decode_view
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.view import NO_VIEW, View
 from millethead.rollout.register import Refused
-from millethead.rollout.store import Store
 from millethead.rpc.codec import CodecError
-from millethead.storage.files import drop_cached
+from millethead.storage.files import OS_FILES, drop_cached
 from millethead.storage.identity import IDENTITY_NAME, DiskIdentity, load_identity
 from millethead.storage.log import LOG_NAME, LogFile, Recovered
 from millethead.storage.records import CorruptLog, Snapshot
+from millethead.storage.register_file import RegisterFile
 from millethead.storage.replay import Contents, replay
 
 
@@ -110,14 +109,14 @@
 
 
 def _read_view(folder: Path, log: LogReport) -> View:
-    store = Store(folder, ACCEPTOR)
-    if not store.path.exists():
+    register = RegisterFile(OS_FILES, folder / ACCEPTOR_NAME)
+    if not register.path.exists():
         if log.last_sequence:
-            raise CorruptLog(f"{store.path.name}: missing beside a log with entries")
+            raise CorruptLog(f"{register.path.name}: missing beside a log with entries")
         return NO_VIEW  # its first start was cut short
     try:
-        return decode_view(store.load().value)
-    except (ConfigError, Refused) as error:
+        return decode_view(register.read().value)
+    except (OSError, Refused) as error:
         raise CorruptLog(str(error)) from None
 
 
--- a/millethead/programs/restoring.py
+++ b/millethead/programs/restoring.py
@@ -13,15 +13,16 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from millethead.programs.core_disk import ACCEPTOR
+from millethead.programs.core_disk import ACCEPTOR_NAME
 from millethead.programs.offline import LogReport
 from millethead.replication.view import ChainMember, Member, View
 from millethead.rollout.register import Kept
-from millethead.rollout.store import Store
 from millethead.rpc.codec import encode
+from millethead.storage.files import OS_FILES
 from millethead.storage.identity import DISK_ID_BITS, load_identity
 from millethead.storage.log import LogFile
 from millethead.storage.records import Snapshot
+from millethead.storage.register_file import RegisterFile
 
 EPOCH_MARGIN = 1 << 20  # changes of view after the snapshot that the lost core can have made at most
 
@@ -51,10 +52,11 @@
         log.rewrite(snapshot, ())
     finally:
         log.close()
-    store = Store(folder, ACCEPTOR)
-    store.load()  # makes the file
+    register = RegisterFile(OS_FILES, folder / ACCEPTOR_NAME)
+    register.load()  # makes the file
     ballot = (view.epoch, member.name)
-    store.save(Kept(ballot, ballot, encode(view)))
+    register.save(Kept(ballot, ballot, encode(view)))
+    register.save_copy()
     return Restored(member, view, snapshot)
 
 
--- a/millethead/replication/agreement.py
+++ b/millethead/replication/agreement.py
@@ -63,10 +63,17 @@
     return tuple(frozenset(voter.name for voter in group) for group in groups if group)
 
 
-def round_for(ballot: Ballot, expected: int, wanted: View, known: View) -> JointRound:
-    """A round that puts `wanted` in the place of the view of epoch `expected`, which is agreed; `known`: the newest
-    view that the proposer knows of."""
-    first = quorums_of(known, expected)
+@dataclass(frozen=True, slots=True)
+class KnownView:
+    """The newest view that a proposer knows of, and the newest epoch of which it knows that its view was agreed."""
+
+    view: View
+    agreed_epoch: int
+
+
+def round_for(ballot: Ballot, expected: int, wanted: View, known: KnownView) -> JointRound:
+    """A round that puts `wanted` in the place of the view of epoch `expected`."""
+    first = quorums_of(known.view, known.agreed_epoch)
 
     def change(old: bytes) -> bytes:
         if decode_view(old).epoch != expected:
@@ -77,7 +84,8 @@
         """A view that was proposed after the known one rests on it, or on a later one. An older one does not: it is
         followed only with those who must have heard of the known one."""
         found = decode_view(value)
-        return quorums_of(found, expected) if found.epoch > known.epoch else first + quorums_of(found, expected)
+        groups = quorums_of(found, known.agreed_epoch)
+        return groups if found.epoch > known.view.epoch else first + groups
 
     return JointRound(ballot, first, change, quorums, voter_names)
 
@@ -125,10 +133,10 @@
         """The newest view that this member's acceptor has accepted; it may not be agreed."""
         return decode_view(self._acceptor.kept.value)
 
-    def propose(self, now: float, expected: int, wanted: View, known: View) -> bool:
-        """Try to put `wanted` in the place of the view of epoch `expected`, which is agreed; does nothing, and returns
-        false, while a round is under way or its pause lasts. `known`: the newest view that this member knows of; its
-        voters are asked first. However it ends, the agreed view is handed to `adopted`."""
+    def propose(self, now: float, expected: int, wanted: View, known: KnownView) -> bool:
+        """Try to put `wanted` in the place of the view of epoch `expected`; does nothing, and returns false, while a
+        round is under way or its pause lasts. The voters of the known view are asked first. However it ends, the
+        agreed view is handed to `adopted`."""
         if self._attempt is not None or now < self._not_before:
             return False
 
--- a/millethead/replication/planning.py
+++ b/millethead/replication/planning.py
@@ -259,7 +259,7 @@
     same = [(place.member, place.incarnation) for place in chain] == [
         (place.member, place.incarnation) for place in view.chain
     ]
-    if same and voters == view.voters and not (view.outgoing and me.serving):
+    if same and voters == view.voters:
         return None
     chain = tuple(place for place in chain if place.member in voters) or chain
     wanted = next_view(view, chain, voters)
--- a/millethead/replication/replica.py
+++ b/millethead/replication/replica.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Protocol
 
-from millethead.replication.agreement import AgreementPorts, ViewRegister
+from millethead.replication.agreement import AgreementPorts, KnownView, ViewRegister
 from millethead.replication.chain import Chain
 from millethead.replication.chain_ports import ChainPorts, Link, Role
 from millethead.replication.copying import PART_BYTES
@@ -342,7 +342,9 @@
 
     def _propose(self, now: float, expected: int, proposal: ViewProposal, known: View) -> None:
         """Ask the voters for a view in the place of that of epoch `expected`; `known`: whose voters are asked first."""
-        if self.register.propose(now, expected, proposal.view, known):
+        # an entry of an epoch shows that its view was agreed: only a head that has adopted it writes one
+        agreed_epoch = max(self.view.epoch, self.chain.log.last[0])
+        if self.register.propose(now, expected, proposal.view, KnownView(known, agreed_epoch)):
             self._ports.proposing(proposal)
 
     def _succeed(self, now: float) -> None:
--- a/millethead/rollout/store.py
+++ b/millethead/rollout/store.py
@@ -42,7 +42,6 @@
     def __init__(self, folder: Path, name: str) -> None:
         self.path = folder / f"{plain_name(name)}.agreed"
         self._number = 0
-        self._last = Kept()
 
     def load(self) -> Kept:
         """Raises ConfigError where the file is there and cannot be used: a voter that forgets what it has promised
@@ -51,13 +50,13 @@
             raw = self.path.read_bytes()
         except FileNotFoundError:
             try:
-                write_lasting(self.path, _place(0, Kept()) * 2)
+                write_lasting(self.path, encode_place(0, Kept()) * 2)
             except OSError as error:
                 raise ConfigError(f"rollout.folder: {error}") from None
             return Kept()
         except OSError as error:
             raise ConfigError(f"rollout.folder: {error}") from None
-        found = [read for at in (0, PLACE) if (read := _read(raw[at : at + PLACE])) is not None]
+        found = [read for at in (0, PLACE) if (read := decode_place(raw[at : at + PLACE])) is not None]
         if not found:
             raise DamagedStore(
                 f"{self.path}: what this voter had promised cannot be read (torn, or of another "
@@ -65,7 +64,6 @@
                 "again"
             )
         self._number, newest = max(found, key=lambda x: x[0])
-        self._last = newest
         try:
             self._sync()
         except OSError as error:
@@ -82,28 +80,18 @@
 
     def save(self, kept: Kept) -> None:
         """Have it on disk when this returns; raises OSError, and then what was there still counts."""
-        place, number = _place(self._number + 1, kept), self._number + 1
+        place, number = encode_place(self._number + 1, kept), self._number + 1
         file = os.open(self.path, os.O_WRONLY)
         try:
             os.pwrite(file, place, PLACE * (number % 2))
             os.fdatasync(file)
         finally:
             os.close(file)
-        self._number, self._last = number, kept
+        self._number = number
 
-    def repair(self) -> bool:
-        """Read again what was saved last, and save it anew where it is not there: the other place holds older promises,
-        and at the next start they would be taken for the newest. Whether that was needed. Raises OSError."""
-        expected = _place(self._number, self._last)
-        with self.path.open("rb") as file:
-            found = os.pread(file.fileno(), PLACE, PLACE * (self._number % 2))
-        if found == expected:
-            return False
-        self.save(self._last)
-        return True
 
-
-def _place(number: int, kept: Kept) -> bytes:
+def encode_place(number: int, kept: Kept) -> bytes:
+    """The bytes of a place that holds a state under its number; raises OSError where it has no room."""
     body = number.to_bytes(8, "big") + _encode(kept)
     body = len(body).to_bytes(4, "big") + body
     if len(body) > PLACE - 8:
@@ -111,7 +99,8 @@
     return (MAGIC + zlib.crc32(body).to_bytes(4, "big") + body).ljust(PLACE, b"\0")
 
 
-def _read(place: bytes) -> tuple[int, Kept] | None:
+def decode_place(place: bytes) -> tuple[int, Kept] | None:
+    """Number and state of a place; None where it is torn or bad."""
     body = place[8 : 12 + int.from_bytes(place[8:12], "big")]
     if place[:4] != MAGIC or zlib.crc32(body) != int.from_bytes(place[4:8], "big"):
         return None
--- a/millethead/storage/identity.py
+++ b/millethead/storage/identity.py
@@ -19,6 +19,8 @@
 DISK_ID_BITS = 64
 _FIELDS = struct.Struct(">4sQ?")
 _CHECK = struct.Struct(">I")
+_COPY_SIZE = _FIELDS.size + _CHECK.size
+COPY_AT = 4096  # offset of the second copy, in another page of the disk
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +42,7 @@
         data = path.read_bytes()
     except FileNotFoundError:
         return _create(folder, bootstrap, random)
-    identity = _decode(data)
+    identity = decode_identity(data)
     OS_FILES.sync_folder(folder)  # a process killed in a write may have left the name unsynced
     return identity
 
@@ -48,14 +50,14 @@
 def bootstrap_done(folder: Path, identity: DiskIdentity) -> DiskIdentity:
     """The identity with its flag cleared, durably; raises OSError, and then the old one stands."""
     done = replace(identity, bootstrapping=False)
-    write_lasting(folder / IDENTITY_NAME, _encode(done))
+    write_lasting(folder / IDENTITY_NAME, encode_identity(done))
     return done
 
 
 def repair_identity(folder: Path, identity: DiskIdentity) -> bool:
     """Read the identity's file again, and write it anew where it holds anything else. Whether that was needed. Raises
     OSError."""
-    path, expected = folder / IDENTITY_NAME, _encode(identity)
+    path, expected = folder / IDENTITY_NAME, encode_identity(identity)
     with contextlib.suppress(FileNotFoundError):
         if path.read_bytes() == expected:
             return False
@@ -78,22 +80,32 @@
     if (folder / LOG_NAME).exists():
         raise CorruptLog(f"{IDENTITY_NAME}: missing beside a log")
     identity = DiskIdentity(random() % (1 << DISK_ID_BITS), bootstrap)
-    write_lasting(folder / IDENTITY_NAME, _encode(identity))
+    write_lasting(folder / IDENTITY_NAME, encode_identity(identity))
     return identity
 
 
-def _encode(identity: DiskIdentity) -> bytes:
+def encode_identity(identity: DiskIdentity) -> bytes:
+    """The bytes of the file: two copies, in pages of their own."""
     fields = _FIELDS.pack(MAGIC, identity.disk_id, identity.bootstrapping)
-    return fields + _CHECK.pack(zlib.crc32(fields))
+    copy = fields + _CHECK.pack(zlib.crc32(fields))
+    return copy.ljust(COPY_AT, b"\0") + copy
 
 
-def _decode(data: bytes) -> DiskIdentity:
-    if len(data) != _FIELDS.size + _CHECK.size or not data.startswith(MAGIC):
-        raise CorruptLog(f"{IDENTITY_NAME}: not of this version, or torn")
-    (check,) = _CHECK.unpack_from(data, _FIELDS.size)
-    if zlib.crc32(data[: _FIELDS.size]) != check:
-        raise CorruptLog(f"{IDENTITY_NAME}: the checksum does not hold")
-    _, disk_id, bootstrapping = _FIELDS.unpack_from(data)
+def decode_identity(data: bytes) -> DiskIdentity:
+    """The identity that either copy holds, or the only one of an earlier version; raises CorruptLog."""
+    copies = {identity for at in (0, COPY_AT) if (identity := _read_copy(data[at : at + _COPY_SIZE])) is not None}
+    if len(copies) != 1:
+        raise CorruptLog(f"{IDENTITY_NAME}: not of this version, or bad")
+    return copies.pop()
+
+
+def _read_copy(copy: bytes) -> DiskIdentity | None:
+    if len(copy) != _COPY_SIZE or not copy.startswith(MAGIC):
+        return None
+    (check,) = _CHECK.unpack_from(copy, _FIELDS.size)
+    if zlib.crc32(copy[: _FIELDS.size]) != check:
+        return None
+    _, disk_id, bootstrapping = _FIELDS.unpack_from(copy)
     return DiskIdentity(disk_id, bootstrapping)
 
 
