--- a/millethead/lab/core_cluster.py
+++ b/millethead/lab/core_cluster.py
@@ -140,15 +140,26 @@
 
     def rot_in_service(self, machine: Machine, back_s: float) -> None:
         """A bit goes bad while the process runs; later the machine loses its power, and reads the disk anew."""
+        if self.random.random() < ROT_OF_COPIES:
+            self.rot_copy_in_service(machine, back_s)
+        else:
+            self.rot_log_in_service(machine, back_s)
+
+    def rot_log_in_service(self, machine: Machine, back_s: float) -> None:
+        """The same, in the log."""
         assert machine.disk is not None
         offsets = rot_offsets(machine.disk)
-        if self.random.random() < ROT_OF_COPIES:
-            self._rot_copy(machine.disk)
-        elif offsets:
+        if offsets:
             machine.rotten = True
             machine.disk.flip_bit(FOLDER / LOG_NAME, self.random.choice(offsets), self.random.randrange(8))
         self.timeline.after(ROTTEN_S, lambda: self.lose_power(machine, back_s))
 
+    def rot_copy_in_service(self, machine: Machine, back_s: float) -> None:
+        """The same, in a copy of the identity or of the promises."""
+        assert machine.disk is not None
+        self._rot_copy(machine.disk)
+        self.timeline.after(ROTTEN_S, lambda: self.lose_power(machine, back_s))
+
     def _rot_copy(self, disk: SimulatedDisk) -> None:
         """A bit goes bad in one of two copies that are the same: the disk stays what it is."""
         copies = equal_copies(disk)
--- a/tests/test_scrubbing.py
+++ b/tests/test_scrubbing.py
@@ -318,13 +318,13 @@
     return [machine.process.storage.identity.disk_id for machine in with_disk(world)]
 
 
-def play_rot(seed: int) -> tuple[str, bool]:
+def play_rot(seed: int, rot: str = "rot_log_in_service") -> tuple[str, bool]:
     """The fault, if any, and whether every disk is still the one it was."""
     world = CoreWorld(seed, WorldSettings(trouble_s=14.0, by_chance=False, members=((3, 1),)))
     before: list[int] = []
     world.timeline.after(1.9, lambda: before.extend(identities(world)))
     for number, machine in enumerate(with_disk(world)):
-        world.timeline.after(2.0 + 4.0 * number, partial(world.cluster.rot_in_service, machine, 0.2))
+        world.timeline.after(2.0 + 4.0 * number, partial(getattr(world.cluster, rot), machine, 0.2))
     fault = world.play().fault
     return fault, identities(world) == before
 
@@ -349,6 +349,11 @@
     assert [believed for _, believed in map(play_rot, range(3))] == [False] * 3
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_rot_in_a_copy_costs_no_disk_even_without_the_scrub(seed, long_logs):
+    assert play_rot(seed, "rot_copy_in_service") == ("", True)
+
+
 def test_a_scrub_that_mends_nothing_is_noticed(frequent_passes, long_logs, monkeypatch):
     monkeypatch.setattr(DiskMaintenance, "_rewrite_damaged", lambda self, why: None)
     assert not all(believed for _, believed in map(play_rot, range(3)))
