Control starts without the dispatcher's decisions: the error that both raise is a module of its own

Cause: rollout.store took ConfigError from millethead.config, which loads the decision module's records: 20 ms of each start of a member of the core by python -X importtime on a loaded machine (368 ms in all). Change: millethead/errors.py. Measured: tests/test_serving.py fails without it.

--- a/millethead/config.py
+++ b/millethead/config.py
@@ -12,14 +12,11 @@
 
 from millethead.decide.interface import Settings
 from millethead.decide.settings import SettingsError, settings_from
+from millethead.errors import ConfigError as ConfigError
 
 NAMED = ("azs", "kinds", "classes", "tenants")  # what the settings name, and all else knows by its place there
 
 
-class ConfigError(Exception):
-    """The configuration cannot be used; the text says why in one line."""
-
-
 def parse_address(text: Any, what: str) -> tuple[str, int]:
     host, _, port = str(text).rpartition(":")
     host = host.strip("[]")
--- a/millethead/rollout/store.py
+++ b/millethead/rollout/store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from millethead.config import ConfigError
+from millethead.errors import ConfigError
 from millethead.files import plain_name, write_whole
 from millethead.rollout.register import Kept
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -25,6 +25,15 @@
     assert said.stdout.strip() == "[]"
 
 
+def test_control_loads_nothing_of_the_dispatcher_s_decisions() -> None:
+    """They are 20 ms of each start, and the core is back so much later."""
+    loaded = (
+        "import sys, millethead.programs.control; print([name for name in sys.modules if 'millethead.decide' in name])"
+    )
+    said = subprocess.run([sys.executable, "-c", loaded], capture_output=True, text=True, check=True)
+    assert said.stdout.strip() == "[]"
+
+
 @pytest.mark.parametrize("arguments", [[], ["status"], ["control", "--log-level=debug"], ["agent", "more"]])
 def test_command_line_takes_whatever_names_no_program_alone(arguments: list[str]) -> None:
     assert not serve_plainly(arguments)
