Whole system in virtual time: a head that is kept leads on with its sessions and what waits

Change: the stand-in for the chain renews itself in place; what is under way ends with the links of its view. One kept head in three has missed a view and begins anew.

--- a/millethead/lab/system_core.py
+++ b/millethead/lab/system_core.py
@@ -30,6 +30,7 @@
 LEAST_TICK_S = 0.005
 STATUS_S = 120.0  # for which ended jobs are shown
 MEMBERS = 3
+MISSED = 3  # in one of so many epochs a head that is kept begins anew
 
 
 class CoreEvents(Protocol):
@@ -51,7 +52,8 @@
 class HeadChange(Enum):
     """How a head ends. KILLED: its process dies, and its connections are reset. SILENT: the same without a word.
     ISOLATED: it goes on for a while, cut off from the other members. FROZEN: it stands still, and goes on when another
-    one serves. HANDED_OVER: planned. KEPT: the same member is the head of a new epoch."""
+    one serves. HANDED_OVER: planned. KEPT: the same member is the head of a new epoch, and goes on with all that it
+    knows, or begins anew where it has missed a view."""
 
     KILLED = "killed"
     SILENT = "silent"
@@ -71,6 +73,7 @@
         self.broken = False  # another epoch has begun, or this member is cut off
         self.still_until = 0.0
         self.reach = 0  # entries that others may have, once the head is cut off
+        self._links = 0  # counts the views: what is under way ends with the links of its view
         self._barrier = 0
         self._durable_at = self._ack_at = 0.0
 
@@ -81,16 +84,28 @@
         self._sync(sequence)
         return sequence, result
 
+    def renew(self, epoch: int) -> None:
+        """The head leads on in the next view: its chain takes what it lacks and acknowledges anew."""
+        self._epoch = epoch
+        self._links += 1
+        self._barrier = 0
+        self._durable_at = self._ack_at = 0.0
+        durable = self.durable
+        if durable > self.committed:
+            self._acknowledge(lambda: self._acknowledged(durable))
+        if len(self.log) > durable:
+            self._sync(len(self.log))
+
     def _sync(self, sequence: int) -> None:
-        now = self._core.timeline.now
+        now, links = self._core.timeline.now, self._links
         self._durable_at = max(now + self._core.random.uniform(*SYNC_S), self._durable_at, self.still_until)
-        self._core.timeline.after(self._durable_at - now, lambda: self._synced(sequence))
+        self._core.timeline.after(self._durable_at - now, lambda: self._synced(sequence, links))
 
-    def _synced(self, sequence: int) -> None:
-        if self.broken or sequence <= self.durable:
+    def _synced(self, sequence: int, links: int) -> None:
+        if self.broken or links != self._links or sequence <= self.durable:
             return
         if self.still_until > self._core.timeline.now:
-            self._core.timeline.after(self.still_until - self._core.timeline.now, lambda: self._synced(sequence))
+            self._core.timeline.after(self.still_until - self._core.timeline.now, lambda: self._synced(sequence, links))
             return
         for entry in self.log[self.durable : sequence]:
             self._core.commit(entry)
@@ -103,25 +118,25 @@
 
     def _acknowledge(self, call: Callable[[], None]) -> None:
         """Something comes back to the head, in order."""
-        now = self._core.timeline.now
+        now, links = self._core.timeline.now, self._links
         self._ack_at = max(now + self._core.random.uniform(*ACK_S) + self._core.slow_ack_s, self._ack_at)
-        self._core.timeline.after(self._ack_at - now, lambda: self._process.post(lambda: self._take(call)))
+        self._core.timeline.after(self._ack_at - now, lambda: self._process.post(lambda: self._take(call, links)))
 
-    def _take(self, call: Callable[[], None]) -> None:
-        if self._process.chain is self:
+    def _take(self, call: Callable[[], None], links: int) -> None:
+        if self._process.chain is self and links == self._links:
             call()
 
     def send_barrier(self) -> int:
         self._barrier += 1
-        number = self._barrier
-        self._core.timeline.after(self._core.random.uniform(*ACK_S), lambda: self._at_tail(number))
+        number, links = self._barrier, self._links
+        self._core.timeline.after(self._core.random.uniform(*ACK_S), lambda: self._at_tail(number, links))
         return number
 
-    def _at_tail(self, number: int) -> None:
-        if self.broken:
+    def _at_tail(self, number: int, links: int) -> None:
+        if self.broken or links != self._links:
             return
         if self.still_until > self._core.timeline.now:
-            self._core.timeline.after(self.still_until - self._core.timeline.now, lambda: self._at_tail(number))
+            self._core.timeline.after(self.still_until - self._core.timeline.now, lambda: self._at_tail(number, links))
             return
         self._acknowledge(lambda: self._process.head.gate.barrier_passed(number))
 
@@ -348,7 +363,12 @@
         self.begin(self.random.choice([member for member in range(MEMBERS) if member != old.member]))
 
     def _keep(self, process: HeadProcess) -> None:
-        """The same member begins another epoch: its log stays whole."""
+        """The same member is the head of another epoch: its log stays whole. Now and then it has missed a view."""
+        if self.epoch % MISSED != 0:
+            self.epoch += 1
+            process.chain.renew(self.epoch)
+            process.head.leads_on(View(self.epoch, (), ()))
+            return
         chain = process.chain
         chain.broken = True
         for entry in chain.log[chain.durable :]:
