--- a/millethead/control/commit.py
+++ b/millethead/control/commit.py
@@ -162,6 +162,15 @@
             self._sending = True
             self._soon(self._send_barrier)
 
+    def leads_on(self) -> None:
+        """The head goes on in another view. A barrier that was under way ended with the links of the view before, so
+        reads that waited for it wait for another one; entries are committed by the members of the new chain."""
+        self._reads = self._confirming + self._reads
+        self._confirming = []
+        if self._reads and not self._sending:
+            self._sending = True
+            self._soon(self._send_barrier)
+
     def committed(self, sequence: int) -> None:
         while self._commits and self._commits[0][0] <= sequence and not self.closed:
             self._commits.popleft()[1]()
--- a/millethead/control/configuration_stream.py
+++ b/millethead/control/configuration_stream.py
@@ -87,14 +87,26 @@
         self.callers: list[Caller] = []
         self.current: StoredConfiguration = stored(state)
 
+    def leads_on(self, epoch: int) -> None:
+        """The head goes on in another view. What was sent under the one before may have been passed over by a caller
+        that heard of the new one first, so callers that have not acknowledged the newest get it again."""
+        self._epoch = epoch
+        for caller in self.callers:
+            if caller.wants_configuration and caller.place != self._state.place:
+                caller.sent = NO_PLACE
+                self._begin_with_newest(caller)
+
     def join(self, link: CommittedLink, hello: CallerHello) -> Caller:
         """A caller has come; it is told the newest configuration unless it holds that."""
         caller = Caller(hello.node, link, hello.wants_configuration, hello.configuration, hello.place)
         self.callers.append(caller)
         if caller.wants_configuration and hello.place != self._state.place:
-            self._gate.confirm_newest(self._newest, lambda newest: self._begin(caller, newest))
+            self._begin_with_newest(caller)
         return caller
 
+    def _begin_with_newest(self, caller: Caller) -> None:
+        self._gate.confirm_newest(self._newest, lambda newest: self._begin(caller, newest))
+
     def _newest(self) -> StoredConfiguration:
         return stored(self._state)
 
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -1,7 +1,8 @@
-"""What the head of the core does in one epoch: answers calls, schedules, and directs the agents.
+"""What the head of the core does: answers calls, schedules, and directs the agents.
 
-Everything here is worked out anew from the replicated state by the head of the next epoch; what must not be lost goes
-through the chain. No input or output: records come in from links, records go out on links, time is asked of a clock.
+Another head works everything here out anew from the replicated state; what must not be lost goes through the chain. A
+head that leads in the next view too goes on with all of it. No input or output: records come in from links, records go
+out on links, time is asked of a clock.
 """
 
 from __future__ import annotations
@@ -71,7 +72,7 @@
 
 
 class Head:
-    """One epoch of the head."""
+    """What the head does from the view in which it begins to lead until another member leads."""
 
     def __init__(
         self,
@@ -85,6 +86,7 @@
         most_job_bytes: int = MOST_JOB_BYTES,
     ) -> None:
         self.view, self.state, self.clock, self._status_s = view, state, clock, status_s
+        self._first_epoch = view.epoch  # it leads in all epochs from here to that of `view`
         self._chain = chain
         self.gate = CommitGate(chain, clock.soon)
         self.scheduler = Scheduler(random, far_times)
@@ -105,6 +107,14 @@
     def _moment(self) -> Clock:
         return moment_of(self.clock)
 
+    def leads_on(self, view: View) -> None:
+        """The same process is the head of the next view too: sessions, leases, tags and all that waits stay."""
+        self.view = view
+        self.gate.leads_on()
+        self.configurations.leads_on(view.epoch)
+        for caller in self.configurations.callers:  # it may know the view already, and have called under it
+            caller.link.send(of_view(CallerWelcome(view, True)))
+
     def close(self) -> None:
         """The epoch is over: nothing that waits is answered."""
         self.gate.close()
@@ -121,19 +131,21 @@
         """A record of a caller."""
         match record:
             case HeadCall(epoch=epoch, call=data):
-                if epoch == self.view.epoch:
-                    self.call(caller, decode_any(data))
+                if self._first_epoch <= epoch <= self.view.epoch:
+                    self.call(caller, decode_any(data), epoch)
             case ConfigurationAck():
                 self.configurations.acknowledged(caller, record)
             case CallerPing(epoch=epoch, serving=serving):
                 current = epoch == self.view.epoch and serving
                 caller.link.send(of_view(CallerPong() if current else CallerWelcome(self.view, True)))
 
-    def call(self, caller: Caller, record: Record) -> None:
-        """A call that was sent to the head of this epoch; raises CodecError for what is none."""
+    def call(self, caller: Caller, record: Record, epoch: int | None = None) -> None:
+        """A call that was sent to this head in `epoch`, one of those in which it leads (None: the present one); raises
+        CodecError for what is none."""
+        called_in = self.view.epoch if epoch is None else epoch
 
         def reply(released: Committed[CallAnswer]) -> None:
-            caller.link.send(released.derive(lambda answer: HeadAnswer(self.view.epoch, answer)))
+            caller.link.send(released.derive(lambda answer: HeadAnswer(called_in, answer)))
 
         match record:
             case JobCall():
--- a/millethead/lab/core_machine.py
+++ b/millethead/lab/core_machine.py
@@ -16,6 +16,7 @@
 from millethead.control.configuration_stream import Caller, ConfigurationStream
 from millethead.control.state import ControlState
 from millethead.lab.core_network import LinkEnd, Network
+from millethead.lab.core_processor import Processor
 from millethead.lab.core_storage import CoreStorage, Unusable
 from millethead.lab.core_time import Timeline
 from millethead.lab.disk import SimulatedDisk
@@ -23,11 +24,13 @@
 from millethead.replication.log import ReplicatedLog
 from millethead.replication.messages import ChainHello
 from millethead.replication.proposal import ViewProposal
-from millethead.replication.replica import Replica, ReplicaSettings
+from millethead.replication.replica import START_OF_EPOCH, Replica, ReplicaSettings
 from millethead.replication.view import ChainMember, Member, View
 from millethead.rollout.register import Kept
 from millethead.rpc.codec import Record
+from millethead.rpc.turns import TurnSlices
 from millethead.storage.log import Entry, Recovered, Snapshot
+from millethead.storage.sync_times import HELD_UP_S
 
 LINK_RETRY_S = 0.05
 COMPACT_ENTRIES = 12  # entries after the snapshot that have the log rewritten: few, so that it comes about often
@@ -50,6 +53,8 @@
 
     def proposed(self, process: CoreProcess, proposal: ViewProposal) -> None: ...
 
+    def head_began(self, process: CoreProcess) -> None: ...
+
 
 @dataclass(slots=True)
 class DiskCondition:
@@ -79,15 +84,27 @@
     rotten: bool = False  # a bit of its log has gone bad, and no process has read it since
 
 
+@dataclass(frozen=True, slots=True)
+class AgentLoad:
+    """What a head that begins has to do: `agents` come within `spread_s`, and of each the work on `records` records
+    takes `record_s` of its processor."""
+
+    agents: int
+    records: int = 4
+    record_s: float = 0.0005
+    spread_s: float = 0.25
+
+
 @dataclass(slots=True)
 class Surroundings:
-    """What all machines share."""
+    """What all machines share. `load` None: processors take no time."""
 
     timeline: Timeline
     network: Network
     random: Random
     watcher: Watcher
     settings: ReplicaSettings
+    load: AgentLoad | None = None
 
 
 class WatchedLog(ReplicatedLog):
@@ -102,6 +119,25 @@
         return super().append(entry)
 
 
+class _ArrivingAgent:
+    """The records of one agent that has come to a new head: worked off as far as a turn's slice goes. The last one
+    leads to an entry of the log."""
+
+    def __init__(self, process: CoreProcess, processor: Processor, load: AgentLoad) -> None:
+        self._process, self._processor, self._load = process, processor, load
+        self._left = load.records
+
+    def work(self) -> None:
+        """Go on with what is left."""
+        while self._left:
+            if self._process.slices.spent:
+                self._process.slices.defer(self.work)
+                return
+            self._left -= 1
+            self._processor.spend(self._load.record_s)
+        self._process.commit_nothing()
+
+
 class CoreProcess:
     """One life of the control program on a machine."""
 
@@ -121,13 +157,17 @@
         self._links: dict[LinkEnd, None] = {}
         self._maintenance: DiskMaintenance | None = None
         self._reviving = False
+        self._tick_due = 0.0
+        self._processor = Processor(around.timeline) if around.load is not None else None
+        self.slices = TurnSlices(self.now, self.soon)
         self._open()
 
     # ---- time --------------------------------------------------------------------------------------------
 
     def now(self) -> float:
         """The steady clock of the machine, in seconds."""
-        return self.machine.boot + self._around.timeline.now * self.machine.rate
+        ahead = self._processor.spent_s if self._processor is not None else 0.0
+        return self.machine.boot + (self._around.timeline.now + ahead) * self.machine.rate
 
     def wall_ms(self) -> int:
         return WALL_START_MS + int(self._around.timeline.now * 1000)
@@ -139,9 +179,16 @@
         if self.machine.frozen:
             if len(self.machine.deferred) < MOST_DEFERRED:
                 self.machine.deferred.append((self, call, source))
+        elif self._processor is not None:
+            self._processor.post(lambda: self._call(call))
         else:
             call()
 
+    def _call(self, call: Callable[[], None]) -> None:
+        """A call has its turn; its process may have ended meanwhile."""
+        if self.alive:
+            call()
+
     def soon(self, call: Callable[[], None]) -> None:
         self.later(0.0, call)
 
@@ -195,9 +242,12 @@
         if self.replica is not replica:
             return
         now = self.now()
+        if self.storage is not None and self._tick_due and now - self._tick_due >= HELD_UP_S:
+            self.storage.held_up(self._tick_due)
         replica.tick(now)
         self._maintain_disk()
         wait = max(SHORTEST_TICK_S, replica.next_tick() - now) + self._random.uniform(0.0, LATE_TIMER_S)
+        self._tick_due = now + wait
         self.later(wait, lambda: self._tick(replica))
 
     def _start_maintenance(self) -> None:
@@ -360,6 +410,26 @@
         self.stream = ConfigurationStream(epoch, self.state.configuration, self.gate)
         events = CallerEvents(lambda job: None, lambda outcome: None, self.stream.publish)
         self.callers = Callers(self.state, self.gate, events, self.wall_ms)
+        self._around.watcher.head_began(self)
+        self._welcome_agents()
+
+    def commit_nothing(self) -> None:
+        """Append an entry that changes nothing, if this process still serves."""
+        if self.is_serving:
+            self._running().chain.propose(START_OF_EPOCH)
+
+    def _welcome_agents(self) -> None:
+        load, processor = self._around.load, self._processor
+        if load is None or processor is None:
+            return
+        for _ in range(load.agents):
+            agent = _ArrivingAgent(self, processor, load)
+            self.later(self._random.uniform(0.0, load.spread_s), agent.work)
+
+    def leads_on(self, view: View) -> None:
+        assert self.gate is not None and self.stream is not None
+        self.gate.leads_on()
+        self.stream.leads_on(view.epoch)
 
     def deposed(self) -> None:
         if self.gate is not None:
--- a/millethead/lab/core_mutants.py
+++ b/millethead/lab/core_mutants.py
@@ -21,10 +21,10 @@
 from millethead.replication.agreement import ViewRegister
 from millethead.replication.chain import Chain
 from millethead.replication.chain_ports import Role
+from millethead.replication.joint import JointRound, Quorums
 from millethead.replication.messages import PaxosMessage
-from millethead.replication.replica import ReplicaSettings
+from millethead.replication.replica import Replica, ReplicaSettings
 from millethead.replication.view import View
-from millethead.rollout.register import Round
 from millethead.storage.files import Files
 from millethead.storage.identity import DiskIdentity
 from millethead.storage.log import Entry, LogFile
@@ -77,7 +77,25 @@
 
 def view_without_majority() -> AbstractContextManager[object]:
     """One voter that has accepted a view is enough."""
-    return mock.patch.object(Round, "agreed", property(lambda self: len(self._accepted) > 0))
+    return mock.patch.object(JointRound, "agreed", property(lambda self: len(self._accepted) > 0))
+
+
+def swap_with_new_majority() -> AbstractContextManager[object]:
+    """A view that changes the voters is agreed with a majority of its own voters, whoever voted before."""
+
+    def needed(self: JointRound) -> Quorums:
+        return self._old_quorums if self.value is None else (self._voters(self.value),)
+
+    return mock.patch.object(JointRound, "needed", property(needed))
+
+
+def swap_with_old_majority() -> AbstractContextManager[object]:
+    """A view that changes the voters is agreed with a majority of those before."""
+
+    def needed(self: JointRound) -> Quorums:
+        return self._old_quorums
+
+    return mock.patch.object(JointRound, "needed", property(needed))
 
 
 @contextmanager
@@ -266,6 +284,31 @@
         yield
 
 
+@contextmanager
+def lead_on_after_another_head() -> Iterator[None]:
+    """A member that is the head again goes on with what it knew, also where another one has led in between."""
+
+    def is_next(self: Replica, view: View) -> bool:
+        before, after = self.view.head, view.head
+        return before is not None and after is not None and before.member == after.member
+
+    with mock.patch.object(Replica, "_is_next_with_same_head", is_next):
+        yield
+
+
+@contextmanager
+def read_over_a_change_of_view() -> Iterator[None]:
+    """Reads that waited for a barrier of the view before are answered when the next view comes."""
+
+    def leads_on(self: CommitGate) -> None:
+        ready, self._confirming = self._confirming, []
+        for _, release in ready:
+            release()
+
+    with mock.patch.object(CommitGate, "leads_on", leads_on):
+        yield
+
+
 MUTANTS: dict[str, Mutant] = {
     "acknowledge_before_sync": acknowledge_before_sync,
     "too_few_disks": too_few_disks,
@@ -284,4 +327,8 @@
     "promise_before_sync": promise_before_sync,
     "believe_what_is_read": believe_what_is_read,
     "barrier_lost_with_link": barrier_lost_with_link,
+    "swap_with_new_majority": swap_with_new_majority,
+    "swap_with_old_majority": swap_with_old_majority,
+    "lead_on_after_another_head": lead_on_after_another_head,
+    "read_over_a_change_of_view": read_over_a_change_of_view,
 }
--- a/millethead/lab/core_storage.py
+++ b/millethead/lab/core_storage.py
@@ -224,6 +224,10 @@
             )
             self._wake()
 
+    def held_up(self, since: float) -> None:
+        """The event loop should have gone on at `since`, and does so only now."""
+        self._sync_times.held_up(since)
+
     def latency_ms(self) -> int:
         """The longest sync lately, or how long the present one is pending if that is more."""
         return BROKEN_MS if self.broken else self._sync_times.latency_ms()
--- a/millethead/lab/core_watch.py
+++ b/millethead/lab/core_watch.py
@@ -36,6 +36,7 @@
     ) -> None:
         self._oracle, self._random, self._machines, self._view_agreed = oracle, random, machines, view_agreed
         self.proposals: list[Proposed] = []
+        self.heads = 0  # how often a process began to serve as the head
 
     def appended(self, process: CoreProcess, before: tuple[int, int], entry: Entry) -> None:
         """A process has taken an entry behind the one of this epoch and sequence."""
@@ -61,6 +62,10 @@
                     f"entry {sequence} of epoch {epoch} is committed, and not on the disk of {place.member.address}"
                 )
 
+    def head_began(self, process: CoreProcess) -> None:
+        """A process serves as the head, and knows nothing of what one before it knew beside the log."""
+        self.heads += 1
+
     def proposed(self, process: CoreProcess, proposal: ViewProposal) -> None:
         """A process asks the voters for a view."""
         self.proposals.append(Proposed(process.address, proposal))
@@ -76,9 +81,9 @@
             self._view_agreed()
 
     def _check_agreed(self, view: View, before: tuple[Member, ...]) -> None:
-        """A view that is adopted is on the disks of a majority of the voters before it, or of its own voters where a
-        later round confirmed what an earlier one had begun."""
-        if not (self._is_agreed(view, before) or self._is_agreed(view, view.voters)):
+        """A view that is adopted is on the disks of a majority of the voters before it, and of a majority of its
+        own."""
+        if not (self._is_agreed(view, before) and self._is_agreed(view, view.voters)):
             raise Violation(f"the view of epoch {view.epoch} is adopted, and on too few disks")
 
     def _is_agreed(self, view: View, voters: tuple[Member, ...]) -> bool:
--- a/millethead/programs/control.py
+++ b/millethead/programs/control.py
@@ -26,7 +26,7 @@
 from millethead.programs.control_figures import head_figures, member_figures
 from millethead.programs.core_disk import REVIVE_S, CoreDisk, DiskUnusable, await_disk, open_disk
 from millethead.programs.disk_maintenance import DiskMaintenance
-from millethead.programs.loop_ports import DatagramReceiver, LoopClock
+from millethead.programs.loop_ports import DatagramSocket, LoopClock
 from millethead.programs.operator_api import operator_app
 from millethead.programs.signals import on_signals
 from millethead.replication.chain_ports import Role
@@ -38,7 +38,9 @@
 from millethead.rollout.register import Kept
 from millethead.rpc.codec import CodecError, Record, decode_any, encode_any
 from millethead.rpc.connection import Connection, InputBudget
+from millethead.rpc.turns import TurnSlices
 from millethead.storage.log import Entry, Recovered, Snapshot
+from millethead.storage.sync_times import HELD_UP_S
 from millethead.web.metrics import Figure
 from millethead.web.server import HttpLimits, HttpServer
 
@@ -48,6 +50,8 @@
 OPERATOR_BODY_BYTES = 8 << 20
 # Bytes of the largest frame by who sends it, once its first record has told.
 MEMBER_FRAME, CALLER_FRAME, AGENT_FRAME = 16 << 20, OPERATOR_BODY_BYTES + (64 << 10), 4 << 20
+SHORTEST_TICK_S = 0.005
+HELD_UP_LOGGED_S = 0.2  # the log tells of a loop that was held up for so long
 INPUT_SHARE = 0.125  # of the memory, for frames of all connections that are not whole yet
 
 
@@ -70,6 +74,7 @@
         self._replica = self._make_replica()
         self._head: Head | None = None
         self._head_tick = 0.0
+        self._tick_due = self._loop.time()
         self._maintenance: DiskMaintenance | None = None
         # what came on each connection; a hello waits for this member to be the head
         self._sessions: dict[Connection, Caller | AgentSession | CallerHello | AgentHello | None] = {}
@@ -79,7 +84,8 @@
         self._http = HttpServer(
             operator_app(self._caller, self._figures), HttpLimits(max_body_bytes=OPERATOR_BODY_BYTES)
         )
-        self._transport: asyncio.DatagramTransport | None = None
+        self._slices = TurnSlices(self._loop.time, self._clock.soon)
+        self._datagrams: DatagramSocket | None = None
         self._server: asyncio.Server | None = None
         self._stopped = asyncio.Event()
 
@@ -122,11 +128,12 @@
         host, port = split_address(self._address)
         # connections first: whoever is heard listens, so that a refused connection tells of its end
         self._server = await self._loop.create_server(
-            lambda: Connection(self._received, self._closed, self._opened, self._input), host, port, backlog=512
-        )
-        self._transport, _ = await self._loop.create_datagram_endpoint(
-            lambda: DatagramReceiver(self._datagram), local_addr=(host, port)
+            lambda: Connection(self._received, self._closed, self._opened, self._input, self._slices),
+            host,
+            port,
+            backlog=512,
         )
+        self._datagrams = DatagramSocket(host, port, self._datagram)
         await self._http.listen(*split_address(self._control_address))
         self._caller.start()
         log.info("control_started", node=self._settings.node, disk=self._disk is not None)
@@ -170,11 +177,23 @@
 
     def _work(self) -> None:
         now = self._loop.time()
+        self._note_hold_up(now)
         self._replica.tick(now)
         if self._head is not None and now >= self._head_tick:
             self._head_tick = self._head.tick()
         self._maintain_disk()
-        self._loop.call_at(max(now + 0.005, self._replica.next_tick()), self._tick)
+        self._tick_due = max(now + SHORTEST_TICK_S, self._replica.next_tick())
+        self._loop.call_at(self._tick_due, self._tick)
+
+    def _note_hold_up(self, now: float) -> None:
+        """Where this tick is late, the disk is not to blame for what has waited meanwhile."""
+        late_s = now - self._tick_due
+        if late_s < HELD_UP_S:
+            return
+        if self._disk is not None:
+            self._disk.held_up(self._tick_due)
+        if late_s > HELD_UP_LOGGED_S:
+            log.warning("loop_held_up", ms=int(late_s * 1000), head=self._head is not None)
 
     # ---- the disk ----------------------------------------------------------------------------------------
 
@@ -216,8 +235,8 @@
     # ---- what the replica asks for -----------------------------------------------------------------------
 
     def datagram(self, address: str, record: Record) -> None:
-        if self._transport is not None:
-            self._transport.sendto(encode_any(record), split_address(address))
+        if self._datagrams is not None:
+            self._datagrams.send(encode_any(record), *split_address(address))
 
     def append(self, entries: Sequence[Entry], durable: Callable[[], None]) -> None:
         assert self._disk is not None
@@ -301,6 +320,11 @@
             elif isinstance(session, AgentHello):
                 self._sessions[connection] = self._head.agent_hello(connection, session)
 
+    def leads_on(self, view: View) -> None:
+        assert self._head is not None
+        log.info("head_leads_on", epoch=view.epoch)
+        self._head.leads_on(view)
+
     def deposed(self) -> None:
         head, self._head = self._head, None
         if head is None:
@@ -345,7 +369,7 @@
     def _first_record(self, connection: Connection, record: Record) -> None:
         match record:
             case ChainHello():
-                connection.most_frame = MEMBER_FRAME
+                connection.most_frame, connection.urgent = MEMBER_FRAME, True
                 self._sessions.pop(connection, None)
                 self._links.taken(connection)
                 self._links.received(connection, record)
--- a/millethead/programs/core_disk.py
+++ b/millethead/programs/core_disk.py
@@ -165,6 +165,10 @@
         if self._store.repair():
             log.error("file_repaired", file=ACCEPTOR)
 
+    def held_up(self, since: float) -> None:
+        """The event loop should have gone on at `since`, and does so only now."""
+        self._sync_times.held_up(since)
+
     def latency_ms(self) -> int:
         """The longest sync lately, or how long the present one is pending if that is more."""
         return BROKEN_MS if self.broken else self._sync_times.latency_ms()
--- a/millethead/programs/loop_ports.py
+++ b/millethead/programs/loop_ports.py
@@ -1,25 +1,48 @@
-"""What the core's pure parts are given of the event loop: datagrams that come, clocks and timers."""
+"""What the core's pure parts are given of the event loop: datagrams, clocks and timers."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import time
 from collections.abc import Callable
 
 MS = 1000
+MOST_DATAGRAMS = 64  # read in one turn of the loop
+MOST_DATAGRAM_BYTES = 65_536
 
 
-class DatagramReceiver(asyncio.DatagramProtocol):
-    """Hands each datagram on, with its sender as HOST:PORT."""
+class DatagramSocket:
+    """Hands each datagram on, with its sender as HOST:PORT. All that have come are read in one turn of the loop: one a
+    turn, as asyncio's own transport reads, falls behind where turns are long, and heartbeats come out of date."""
 
-    def __init__(self, received: Callable[[bytes, str], None]) -> None:
+    def __init__(self, host: str, port: int, received: Callable[[bytes, str], None]) -> None:
         self._received = received
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._received(data, f"{addr[0]}:{addr[1]}")
-
-    def error_received(self, exc: Exception) -> None:
-        """A dead port at the other end: the heartbeats that stay away tell of it."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((host, port))
+        asyncio.get_running_loop().add_reader(self._socket, self._read)
+
+    def _read(self) -> None:
+        for _ in range(MOST_DATAGRAMS):
+            try:
+                data, sender = self._socket.recvfrom(MOST_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:  # a dead port at the other end: the heartbeats that stay away tell of it
+                continue
+            self._received(data, f"{sender[0]}:{sender[1]}")
+
+    def send(self, data: bytes, host: str, port: int) -> None:
+        """Send a datagram, which may be lost; also here, where the socket takes no more."""
+        with contextlib.suppress(OSError):
+            self._socket.sendto(data, (host, port))
+
+    def close(self) -> None:
+        """Nothing more is received."""
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
 
 
 class LoopClock:
--- a/millethead/replication/agreement.py
+++ b/millethead/replication/agreement.py
@@ -1,7 +1,7 @@
 """The register that holds the view: CASPaxos rounds over datagrams, one at a time for each proposer.
 
-The acceptor and the round are those of `rollout.register`; here are their messages, repeats and the disk: an answer of
-the acceptor leaves only when what it promised is on disk.
+The acceptor is that of `rollout.register`; here are its messages, repeats and the disk: an answer of the acceptor
+leaves only when what it promised is on disk. Rounds are `JointRound`s: a view may change any number of voters.
 """
 
 from __future__ import annotations
@@ -12,9 +12,10 @@
 from random import Random
 from typing import Protocol
 
+from millethead.replication.joint import JointRound, Quorums
 from millethead.replication.messages import PaxosKind, PaxosMessage
-from millethead.replication.view import NO_VIEW, Member, View
-from millethead.rollout.register import Acceptor, Kept, Refused, Round, Word
+from millethead.replication.view import NO_VIEW, Member, View, ViewWithoutOutgoing
+from millethead.rollout.register import Acceptor, Ballot, Kept, Refused, Word
 from millethead.rpc.codec import CodecError, decode, encode
 
 REPEAT_S = 0.12  # an unanswered question is put again after this time
@@ -30,31 +31,68 @@
 _WORDS = {kind: word for word, kind in _KINDS.items()}
 
 
-class AgreementPorts(Protocol):
-    """What the register needs of its surroundings."""
-
-    def send(self, address: str, message: PaxosMessage) -> None: ...
-
-    def save(self, kept: Kept, done: Callable[[], None]) -> None: ...
-
-
 def decode_view(value: bytes) -> View:
     """The view that a register's value holds; an empty value is none."""
     if not value:
         return NO_VIEW
     try:
         return decode(View, value)
+    except CodecError:
+        return _earlier_view(value)
+
+
+def _earlier_view(value: bytes) -> View:
+    """A view as a disk may hold it that was written before views named the voters they replace."""
+    try:
+        found = decode(ViewWithoutOutgoing, value)
     except CodecError as error:
         raise Refused(f"the register holds no view: {error}") from None
+    return View(found.epoch, found.voters, found.chain)
+
+
+def voter_names(value: bytes) -> frozenset[str]:
+    """Who votes under the view that a register's value holds."""
+    return frozenset(voter.name for voter in decode_view(value).voters)
+
 
+def quorums_of(view: View, agreed_epoch: int) -> Quorums:
+    """Of which groups of voters a majority each has to promise before a view can be followed by another one. Those
+    that a view replaces are needed no more once it is known to be agreed: a majority of them has it then."""
+    outgoing = view.outgoing if view.epoch > agreed_epoch else ()
+    groups = (view.voters, outgoing)
+    return tuple(frozenset(voter.name for voter in group) for group in groups if group)
 
-def _voter_names(value: bytes) -> tuple[str, ...]:
-    return tuple(voter.name for voter in decode_view(value).voters)
+
+def round_for(ballot: Ballot, expected: int, wanted: View, known: View) -> JointRound:
+    """A round that puts `wanted` in the place of the view of epoch `expected`, which is agreed; `known`: the newest
+    view that the proposer knows of."""
+    first = quorums_of(known, expected)
+
+    def change(old: bytes) -> bytes:
+        if decode_view(old).epoch != expected:
+            raise Refused("another view is in place")
+        return encode(wanted)
+
+    def quorums(value: bytes) -> Quorums:
+        """A view that was proposed after the known one rests on it, or on a later one. An older one does not: it is
+        followed only with those who must have heard of the known one."""
+        found = decode_view(value)
+        return quorums_of(found, expected) if found.epoch > known.epoch else first + quorums_of(found, expected)
+
+    return JointRound(ballot, first, change, quorums, voter_names)
+
+
+class AgreementPorts(Protocol):
+    """What the register needs of its surroundings."""
+
+    def send(self, address: str, message: PaxosMessage) -> None: ...
+
+    def save(self, kept: Kept, done: Callable[[], None]) -> None: ...
 
 
 @dataclass(slots=True)
 class _Attempt:
-    round: Round
+    round: JointRound
     began: float
     asked_at: float
 
@@ -87,21 +125,16 @@
         """The newest view that this member's acceptor has accepted; it may not be agreed."""
         return decode_view(self._acceptor.kept.value)
 
-    def propose(self, now: float, expected: int, wanted: View, voters: tuple[Member, ...]) -> bool:
-        """Try to put `wanted` in the place of the view of epoch `expected`; does nothing, and returns false, while a
-        round is under way or its pause lasts. However it ends, the agreed view is handed to `adopted`."""
+    def propose(self, now: float, expected: int, wanted: View, known: View) -> bool:
+        """Try to put `wanted` in the place of the view of epoch `expected`, which is agreed; does nothing, and returns
+        false, while a round is under way or its pause lasts. `known`: the newest view that this member knows of; its
+        voters are asked first. However it ends, the agreed view is handed to `adopted`."""
         if self._attempt is not None or now < self._not_before:
             return False
 
-        def change(old: bytes) -> bytes:
-            if decode_view(old).epoch != expected:
-                raise Refused("another view is in place")
-            return encode(wanted)
-
         self._highest += 1
         ballot = (self._highest, f"{self._me.name}/{self._incarnation:x}")
-        names = tuple(voter.name for voter in voters)
-        self._attempt = _Attempt(Round(ballot, names, change, _voter_names), now, now)
+        self._attempt = _Attempt(round_for(ballot, expected, wanted, known), now, now)
         self._ask(now)
         return True
 
@@ -179,7 +212,7 @@
         assert attempt is not None
         attempt.asked_at = now
         word = attempt.round.ask()
-        for name in attempt.round.voters:
+        for name in sorted(attempt.round.asked):
             message = PaxosMessage(_KINDS[word.kind], name, word.ballot[0], word.ballot[1], 0, "", word.value)
             self._ports.send(name.rsplit("/", 1)[0], message)
 
--- a/millethead/replication/chain.py
+++ b/millethead/replication/chain.py
@@ -57,11 +57,14 @@
 
     # ---- the view ----------------------------------------------------------------------------------------
 
-    def enter(self, view: View) -> None:
-        """Take the place that a newer view gives to this member; links of the earlier epoch end."""
+    def enter(self, view: View, leads_on: bool = False) -> None:
+        """Take the place that a newer view gives to this member; links of the earlier epoch end. `leads_on`: it has
+        been the head in every view since it committed what it holds for committed, so that this stays so."""
         self._drop_links()
         self._view, self.epoch = view, view.epoch
-        self.committed = self.barrier = self.barrier_passed = 0
+        self.barrier = self.barrier_passed = 0
+        if not leads_on:
+            self.committed = 0
         at = next(
             (
                 number
--- a/millethead/replication/liveness.py
+++ b/millethead/replication/liveness.py
@@ -86,9 +86,10 @@
         self._contacts.pop(address, None)
 
     def silent_for(self, now: float, address: str) -> float:
-        """Seconds since the address was heard; infinite if never."""
-        contact = self._contacts.get(address)
-        return now - contact.heard_at if contact is not None else float("inf")
+        """Seconds since an address was last heard, or since its process was found to be over."""
+        contact, ended = self._contacts.get(address), self._ended.get(address)
+        heard_at = contact.heard_at if contact is not None else ended.at if ended is not None else float("-inf")
+        return now - heard_at
 
     def joined_both_ways(self, now: float, address: str) -> bool:
         """Whether this member hears the address and is heard there."""
--- a/millethead/replication/planning.py
+++ b/millethead/replication/planning.py
@@ -18,6 +18,7 @@
 DEAD_VOTER_S = 2.0  # a voter silent for so long is dropped where the majority of the others gains by it
 RANK_DELAY_S = 0.2  # the second in line proposes so much later than the first
 FIRST_EPOCH = 1
+FEWEST_VOTERS = 3  # below this no voter is dropped for its silence
 RESTART_WAIT_S = 0.25  # after all were killed at once, the first back waits so long for others that are not back yet
 
 
@@ -113,7 +114,7 @@
     return chosen
 
 
-def _candidates(now: float, view: View, me: Myself, liveness: Liveness) -> list[Heartbeat]:
+def _candidates(now: float, view: View, me: Myself, liveness: Liveness, voters: tuple[Member, ...]) -> list[Heartbeat]:
     """Who could stand behind this member in a chain: first those of the present chain, in its order. A member of the
     chain that leaves stays until enough others hold all that was committed."""
     beats = {
@@ -138,7 +139,7 @@
     fresh = [
         beat
         for address, beat in sorted(beats.items())
-        if beat.sender in view.voters and now - liveness.contacts()[address].since >= SETTLED_S
+        if beat.sender in voters and now - liveness.contacts()[address].since >= SETTLED_S
     ]
     found = order + restarted + [beat for beat in fresh if not beat.leaving]
     if len(found) + 1 < me.least_chain:
@@ -146,9 +147,11 @@
     return found
 
 
-def wanted_chain(now: float, view: View, me: Myself, liveness: Liveness) -> tuple[ChainMember, ...]:
-    """The chain that this member would lead, or hand over if it leaves."""
-    behind = _clique(now, me, liveness, _candidates(now, view, me, liveness))
+def wanted_chain(
+    now: float, view: View, me: Myself, liveness: Liveness, voters: tuple[Member, ...]
+) -> tuple[ChainMember, ...]:
+    """The chain that this member would lead, or hand over if it leaves; `voters` of the next view may join."""
+    behind = _clique(now, me, liveness, _candidates(now, view, me, liveness, voters))
     in_chain = {(place.member, place.incarnation) for place in view.chain}
     enough = me.least_chain - (0 if me.leaving else 1)
     well: list[Heartbeat] = []
@@ -186,29 +189,57 @@
 
 
 def wanted_voters(now: float, view: View, me: Myself, liveness: Liveness) -> tuple[Member, ...]:
-    """The voters of the next view: one more or one less than now at most."""
-    voters = view.voters
-    for voter in voters:
-        identity = liveness.identity(voter.address)
-        if voter != me.member and identity is not None and identity[0].disk not in (0, voter.disk):
-            return tuple(other for other in voters if other != voter)  # its disk is another one: it never returns
-    addresses = {voter.address for voter in voters}
+    """The voters of the next view, all changes at once: members that are new come, and take the places of voters that
+    are gone for good or not heard; and voters that have been silent for long go where the majority of the others gains
+    by it."""
+    kept = [voter for voter in view.voters if voter == me.member or not _has_another_disk(now, voter, liveness)]
+    fresh = _newcomers(now, view, liveness)
+    silent = [voter for voter in kept if voter != me.member and not _is_there(now, voter, liveness)]
+    silent.sort(key=lambda voter: -liveness.silent_for(now, voter.address))
+    vacant = len(view.voters) - len(kept)
+    for voter in silent[: max(0, len(fresh) - vacant)]:
+        kept.remove(voter)
+    voters = _without_dead(now, [*kept, *fresh], me, liveness)
+    there = sum(voter == me.member or _is_there(now, voter, liveness) for voter in voters)
+    if 2 * there <= len(voters) or set(voters) == set(view.voters):
+        return view.voters
+    return tuple(voters)
+
+
+def _has_another_disk(now: float, voter: Member, liveness: Liveness) -> bool:
+    """Whether a voter never returns, since its machine has another disk, which can take its place by now."""
+    contact = liveness.contact(voter.address)
+    if contact is None or contact.heartbeat.sender.disk in (0, voter.disk):
+        return False
+    return now - contact.since >= SETTLED_S
+
+
+def _newcomers(now: float, view: View, liveness: Liveness) -> list[Member]:
+    """Members with a disk that do not vote, have been heard for a while without a gap, and stay."""
+    found = []
     for address, contact in sorted(liveness.contacts().items()):
         beat = contact.heartbeat
-        if (
-            beat.sender.disk
-            and address not in addresses
-            and not beat.leaving
-            and liveness.joined_both_ways(now, address)
-            and now - contact.since >= SETTLED_S
-        ):
-            return (*voters, beat.sender)
-    live = sum(voter == me.member or _is_there(now, voter, liveness) for voter in voters)
-    if len(voters) > 3 and live < len(voters) and _slack(live, len(voters) - 1) > _slack(live, len(voters)):
-        for voter in voters:
-            if voter != me.member and min(liveness.silent_for(now, voter.address), now - me.started) > DEAD_VOTER_S:
-                return tuple(other for other in voters if other != voter)
-    return voters
+        if not beat.sender.disk or beat.leaving or beat.sender in view.voters:
+            continue
+        if liveness.joined_both_ways(now, address) and now - contact.since >= SETTLED_S:
+            found.append(beat.sender)
+    return found
+
+
+def _without_dead(now: float, voters: list[Member], me: Myself, liveness: Liveness) -> list[Member]:
+    """The voters without those that have been silent for long, as far as a majority of the rest gains by it."""
+    dead = [
+        voter
+        for voter in voters
+        if voter != me.member and min(liveness.silent_for(now, voter.address), now - me.started) > DEAD_VOTER_S
+    ]
+    left = list(voters)
+    for voter in dead:
+        live = sum(other == me.member or _is_there(now, other, liveness) for other in left)
+        if len(left) <= FEWEST_VOTERS or _slack(live, len(left) - 1) <= _slack(live, len(left)):
+            continue
+        left.remove(voter)
+    return left
 
 
 def _slack(live: int, voters: int) -> int:
@@ -220,15 +251,15 @@
     """At the head: the view to propose, if any."""
     if not in_touch_with_majority(now, view, me, liveness):
         return None
-    chain = wanted_chain(now, view, me, liveness)
     voters = wanted_voters(now, view, me, liveness)
+    chain = wanted_chain(now, view, me, liveness, voters)
     if len(chain) < me.least_chain <= len(view.chain) and not me.leaving:
         more = _more_voters(view, voters)
         return ViewProposal(more, ViewCause.VOTERS, (), me.disk_ms) if more is not None else None
     same = [(place.member, place.incarnation) for place in chain] == [
         (place.member, place.incarnation) for place in view.chain
     ]
-    if same and voters == view.voters:
+    if same and voters == view.voters and not (view.outgoing and me.serving):
         return None
     chain = tuple(place for place in chain if place.member in voters) or chain
     wanted = next_view(view, chain, voters)
@@ -307,7 +338,7 @@
     """At a member that takes over from a head that is gone by `failure`: the view to propose, if any."""
     if not in_touch_with_majority(now, view, me, liveness):
         return None
-    chain = wanted_chain(now, view, me, liveness)
+    chain = wanted_chain(now, view, me, liveness, view.voters)
     if chain[0].member != me.member or len(chain) < min(me.least_chain, len(view.voters)):
         return None
     wanted = next_view(view, chain)
--- a/millethead/replication/replica.py
+++ b/millethead/replication/replica.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Protocol
 
@@ -76,6 +76,11 @@
         """This member is the head, and everything that was committed before is in its state."""
         ...
 
+    def leads_on(self, view: View) -> None:
+        """This member served as the head and is the head of the next view too: nobody else led in between, so that
+        all it has told and promised stands. Barriers that were under way are void."""
+        ...
+
     def deposed(self) -> None:
         """This member was the head and is it no more: nothing that was not committed will be answered for."""
         ...
@@ -126,7 +131,8 @@
         self._now = now
         self._epoch_start = 0
         self._settled_epoch = 0  # the newest of which this member knows that its head serves
-        self._serving = False
+        self._serving = False  # the chain of this view is reconciled with this head
+        self._leads = False  # `ports.serving` was called, and this member has been the head since
         self._head_ill_since: float | None = None
         self._next_beat = now
         self._next_plan = now + FIRST_PLAN_S
@@ -135,7 +141,7 @@
 
     @property
     def serving(self) -> bool:
-        """Whether this member is the head and may answer."""
+        """Whether this member is the head, and all of its chain holds what was committed before."""
         return self._serving
 
     @property
@@ -282,17 +288,32 @@
         if view.epoch <= self.view.epoch:
             return
         was_head = self.chain.role is Role.HEAD
+        self._leads = self._leads and self._is_next_with_same_head(view)
         self.view = view
         self.bootstrapping = False
         self._head_ill_since = None
         self._serving = False
-        self.chain.enter(view)
-        if was_head:
+        self.chain.enter(view, self._leads)
+        if self._leads:
+            self._ports.leads_on(view)
+        elif was_head:
             self._ports.deposed()
         self._ports.view_changed(view)
         if self.chain.role is Role.HEAD:
             self._epoch_start, _ = self.chain.propose(START_OF_EPOCH)
 
+    def _is_next_with_same_head(self, view: View) -> bool:
+        """Whether a view follows directly on the one in place, with the same process as its head, and can commit. A
+        view between the two might have had another head, which has committed what this one does not know of."""
+        before, after = self.view.head, view.head
+        return (
+            view.epoch == self.view.epoch + 1
+            and before is not None
+            and after is not None
+            and (after.member, after.incarnation) == (before.member, before.incarnation)
+            and len(view.chain) >= self.settings.least_chain
+        )
+
     def chain_committed(self, sequence: int) -> None:
         """The chain's commit has moved: the first one of an epoch opens it for service."""
         if (
@@ -303,7 +324,9 @@
         ):
             self._serving = True
             self._next_beat = self._now  # a member that leaves waits for it
-            self._ports.serving(self.view.epoch)
+            if not self._leads:
+                self._leads = True
+                self._ports.serving(self.view.epoch)
 
     def _plan(self, now: float) -> None:
         if not self.me.disk or self.register.busy:
@@ -313,13 +336,13 @@
         elif self.chain.role is Role.HEAD:
             wanted = plan_as_head(now, self.view, self.myself(now), self.liveness)
             if wanted is not None:
-                self._propose(now, self.view.epoch, wanted, self.view.voters)
+                self._propose(now, self.view.epoch, wanted, self.view)
         else:
             self._succeed(now)
 
-    def _propose(self, now: float, expected: int, proposal: ViewProposal, voters: tuple[Member, ...]) -> None:
-        """Ask the voters for a view in the place of that of epoch `expected`."""
-        if self.register.propose(now, expected, proposal.view, voters):
+    def _propose(self, now: float, expected: int, proposal: ViewProposal, known: View) -> None:
+        """Ask the voters for a view in the place of that of epoch `expected`; `known`: whose voters are asked first."""
+        if self.register.propose(now, expected, proposal.view, known):
             self._ports.proposing(proposal)
 
     def _succeed(self, now: float) -> None:
@@ -341,7 +364,7 @@
             return
         if self._just_back(ill_s - place * RANK_DELAY_S) and not keeps_chain(self.view, wanted.view):
             return
-        self._propose(now, self.view.epoch, wanted, self.view.voters)
+        self._propose(now, self.view.epoch, wanted, self.view)
 
     def _just_back(self, waited_s: float) -> bool:
         """Whether this process is a restarted one, and others that were killed with it may still be starting."""
@@ -355,7 +378,7 @@
         if hint.epoch:
             # a restart: somebody may know a newer one, so the register itself is asked
             if now - self._started >= FIRST_PLAN_S + ASK_STEP_S * _position(hint, self.me):
-                self._propose(now, -1, ViewProposal(hint, ViewCause.RESTARTED), hint.voters)
+                self._propose(now, -1, ViewProposal(hint, ViewCause.RESTARTED), hint)
             return
         if not self.bootstrapping:
             return
@@ -370,7 +393,8 @@
             identity = self.liveness.identity(voter.address)
             if voter != self.me and identity is not None:
                 chain.append(ChainMember(voter, identity[1], 1))
-        self._propose(now, 0, ViewProposal(View(1, voters, tuple(chain)), ViewCause.FIRST_START), voters)
+        first_view = View(1, voters, tuple(chain))
+        self._propose(now, 0, ViewProposal(first_view, ViewCause.FIRST_START), replace(first_view, epoch=0))
 
     def _first_voters(self) -> tuple[Member, ...] | None:
         """The seeds that have a disk, once all seeds have been heard."""
--- a/millethead/replication/view.py
+++ b/millethead/replication/view.py
@@ -34,11 +34,13 @@
 
 @dataclass(frozen=True, slots=True)
 class View(Record):
-    """The agreed membership. `chain[0]` is the head, the last one the tail."""
+    """The agreed membership. `chain[0]` is the head, the last one the tail. `outgoing`: the voters before, where this
+    view changes them: it is agreed only with a majority of these too (joint consensus)."""
 
     epoch: U64
     voters: tuple[Member, ...]
     chain: tuple[ChainMember, ...]
+    outgoing: tuple[Member, ...] = ()
 
     @property
     def head(self) -> ChainMember | None:
@@ -58,14 +60,24 @@
         return len(self.voters) // 2 + 1
 
 
+@dataclass(frozen=True, slots=True)
+class ViewWithoutOutgoing(Record):
+    """The format of a view before voters could change together."""
+
+    epoch: U64
+    voters: tuple[Member, ...]
+    chain: tuple[ChainMember, ...]
+
+
 NO_VIEW = View(0, (), ())
 
 
 def next_view(view: View, chain: tuple[ChainMember, ...], voters: tuple[Member, ...] | None = None) -> View:
-    """The view after `view`; members that are new in the chain join at its epoch."""
+    """The view after `view`; members that are new in the chain join at its epoch. Any number of voters may change."""
     epoch = view.epoch + 1
     before = {place.member: place for place in view.chain}
     placed = tuple(
         replace(place, joined=before[place.member].joined if place.member in before else epoch) for place in chain
     )
-    return View(epoch, view.voters if voters is None else voters, placed)
+    wanted = view.voters if voters is None else voters
+    return View(epoch, wanted, placed, view.voters if set(wanted) != set(view.voters) else ())
--- a/millethead/rpc/connection.py
+++ b/millethead/rpc/connection.py
@@ -1,7 +1,8 @@
 """Framed connections between programs: a length and a tagged record a frame, over one TCP stream.
 
 Writes are queued and leave in one system call a turn of the loop. A peer that does not read is closed once the queue
-passes its bound, so that memory stays bounded.
+passes its bound, so that memory stays bounded. Where a server bounds the work of a turn, frames that are left wait for
+the next one, and a peer that sends more meanwhile is not read from.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import structlog
 
 from millethead.rpc.codec import CodecError, Record, decode_any, encode_any
+from millethead.rpc.turns import TurnSlices
 
 log = structlog.get_logger()
 
@@ -22,6 +24,7 @@
 MOST_FRAME = 48 << 20  # bytes of one frame of a peer that was connected to
 MOST_HELD = 64 << 20  # bytes of frames that are not whole yet, of all connections of a server together
 HELLO_S = 10.0  # a peer that has said nothing by then is dropped
+MOST_AHEAD = 64 << 10  # bytes that are read from a peer whose frames wait for their turn
 MOST_QUEUED = 64 << 20  # bytes that wait to be written to one peer
 USER_TIMEOUT_MS = 4000  # unacknowledged bytes end a connection after this time
 KEEPALIVE_S, KEEPALIVE_PROBES = 2, 2  # an idle connection is probed, so that an end that is gone is found out
@@ -43,7 +46,8 @@
 class Connection(asyncio.Protocol):
     """One end of a framed connection; `received` and `closed` are called on the loop. `most_frame`: bytes of the
     largest frame that is taken; whoever receives raises it once the peer is known. `budget`: shared by the connections
-    of a server, whose peers are strangers at first."""
+    of a server, whose peers are strangers at first. `slices`: bounds the work of a turn on all of them together, but
+    for those that are `urgent`."""
 
     def __init__(
         self,
@@ -51,12 +55,15 @@
         closed: Callable[[Connection], None],
         opened: Callable[[Connection], None] | None = None,
         budget: InputBudget | None = None,
+        slices: TurnSlices | None = None,
     ) -> None:
         self._received, self._closed, self._opened = received, closed, opened
         self.most_frame = MOST_FRAME if budget is None else STRANGER_FRAME
         self._budget, self._held = budget or InputBudget(), 0
         self._hello_due: asyncio.TimerHandle | None = None
         self._strange = budget is not None
+        self._slices, self.urgent = slices, False
+        self._deferred = False
         self._transport: asyncio.Transport | None = None
         self._input = bytearray()
         self._output: list[bytes] = []
@@ -85,10 +92,31 @@
 
     def data_received(self, data: bytes) -> None:
         self._input += data
-        self._take_frames()
+        if not self._deferred:
+            self._take_frames()
+        elif self._transport is not None and len(self._input) > MOST_AHEAD:
+            self._transport.pause_reading()
         if self._transport is not None and not self._hold(len(self._input)):
             self._drop("too_much_unfinished_input")
 
+    def _go_on(self) -> None:
+        """A later turn has come for frames that wait."""
+        self._deferred = False
+        if self._transport is None:
+            return
+        self._transport.resume_reading()
+        self._take_frames()
+        if self._transport is not None:
+            self._hold(len(self._input))
+
+    def _turn_is_over(self) -> bool:
+        """Whether the next frame has to wait for a later turn."""
+        if self._slices is None or self.urgent or not self._slices.spent:
+            return False
+        self._deferred = True
+        self._slices.defer(self._go_on)
+        return True
+
     def _hold(self, size: int) -> bool:
         more, self._held = size - self._held, size
         return self._budget.change(more)
@@ -106,17 +134,17 @@
             if length > self.most_frame:
                 self._drop("frame_too_large")
                 return
-            if size - at - _FRAME.size < length:
+            if size - at - _FRAME.size < length or self._turn_is_over():
                 break
             start = at + _FRAME.size
             at = start + length
             try:
                 record = decode_any(bytes(self._input[start:at]))
+                self._known()
+                self._received(self, record)  # a record may hold another one, that is no record
             except CodecError as error:
                 self._drop(str(error))
                 return
-            self._known()
-            self._received(self, record)
             if self._transport is None:
                 return
         del self._input[:at]
--- a/millethead/storage/sync_times.py
+++ b/millethead/storage/sync_times.py
@@ -2,7 +2,8 @@
 
 Only the disk is measured. A job may also wait because the thread that writes, or the event loop that waits for it, has
 no processor: that says nothing about the disk, and a busy head that took it for a slow disk would hand over to the next
-member, which has the same work to do.
+member, which has the same work to do. So the writer's thread tells when the disk has work, and the event loop tells
+when it was held up itself: the thread may have waited for the interpreter meanwhile, with its write long done.
 """
 
 from __future__ import annotations
@@ -13,24 +14,30 @@
 from threading import Lock
 
 MEMORY_S = 2.0  # writes are remembered for so long
+HELD_UP_S = 0.01  # an event loop that goes on so late was held up
 MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
-class _Taken:
-    """A write that is over."""
+class _Span:
+    """Seconds of the clock from `since` to `until`."""
 
-    at: float
-    seconds: float
+    since: float
+    until: float
+
+    def overlap(self, other: _Span) -> float:
+        """How long both last at once."""
+        return max(0.0, min(self.until, other.until) - max(self.since, other.since))
 
 
 class SyncTimes:
-    """Told by whoever does the writes, in its thread; read in any thread. `clock`: steady seconds."""
+    """Told by whoever does the writes, in its thread; read on the event loop. `clock`: steady seconds."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._lock = Lock()  # guards all that follows
-        self._taken: deque[_Taken] = deque()
+        self._writes: deque[_Span] = deque()
+        self._held_up: deque[_Span] = deque()  # spans that follow one another
         self._idle_since = clock()
         self._began: float | None = None  # when the disk began to be what the oldest job under way waits for
 
@@ -46,16 +53,31 @@
         with self._lock:
             now = self._clock()
             if self._began is not None and counts:
-                self._taken.append(_Taken(now, now - self._began))
+                self._writes.append(_Span(self._began, now))
             self._began = None
             self._idle_since = now
 
+    def held_up(self, since: float) -> None:
+        """The event loop should have gone on at `since`, and does so only now."""
+        with self._lock:
+            self._held_up.append(_Span(since, self._clock()))
+
     def latency_ms(self) -> int:
         """The longest write lately, or how long the present one is under way if that is more."""
         with self._lock:
             now = self._clock()
-            while self._taken and now - self._taken[0].at > MEMORY_S:
-                self._taken.popleft()
-            longest = max((taken.seconds for taken in self._taken), default=0.0)
-            under_way = now - self._began if self._began is not None else 0.0
-        return int(MS * max(longest, under_way))
+            _forget(self._writes, now - MEMORY_S)
+            spans = list(self._writes)
+            if self._began is not None:
+                spans.append(_Span(self._began, now))
+            _forget(self._held_up, min([now - MEMORY_S, *(span.since for span in spans)]))
+            return int(MS * max(map(self._at_disk, spans), default=0.0))
+
+    def _at_disk(self, write: _Span) -> float:
+        """How long a write took (s), without the time in which the process was held up."""
+        return write.until - write.since - sum(map(write.overlap, self._held_up))
+
+
+def _forget(spans: deque[_Span], before: float) -> None:
+    while spans and spans[0].until < before:
+        spans.popleft()
--- a/tests/test_sync_times.py
+++ b/tests/test_sync_times.py
@@ -79,6 +79,41 @@
     assert near(desk.times.latency_ms(), SYNC_S)
 
 
+def test_a_write_that_the_loop_has_not_let_finish_makes_no_slow_disk() -> None:
+    """The thread needs the interpreter to say that a write is done. A head found its own write under way for 253 ms,
+    which it had itself held up."""
+    desk = Desk()
+    seen: list[int] = []
+
+    def sync_beside_a_busy_loop() -> None:
+        desk.clock.now += SYNC_S
+        due = desk.clock.now
+        desk.clock.now += HELD_UP_S
+        desk.times.held_up(due)
+        seen.append(desk.times.latency_ms())
+
+    desk.writer._log.sync = sync_beside_a_busy_loop
+    desk.append()
+    desk.writer.step()
+    assert near(seen[0], SYNC_S) and near(desk.times.latency_ms(), SYNC_S)
+
+
+def test_a_slow_disk_is_slow_beside_a_busy_loop() -> None:
+    desk = Desk()
+
+    def slow_sync() -> None:
+        desk.clock.now += 0.2
+        due = desk.clock.now
+        desk.clock.now += 0.1
+        desk.times.held_up(due)
+        desk.clock.now += 0.2
+
+    desk.writer._log.sync = slow_sync
+    desk.append()
+    desk.writer.step()
+    assert near(desk.times.latency_ms(), 0.4)
+
+
 def test_the_wait_behind_an_earlier_write_counts() -> None:
     desk = Desk()
     desk.sync_s = 0.2
