--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 build="$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])')"
 sh -c "$build"
 PYTHONPATH="target/deps:." python3 -c 'import millethead.lab.local_system, millethead.lab.worker_server'
-python3 - review/common/harness.py review/[1-3]/case.py <<'END'
+python3 - review/harness.py review/[1-3]/case.py <<'END'
 import sys
 
 for path in sys.argv[1:]:
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -24,7 +24,7 @@
 from millethead.lab.worker import Body, TaskWork, WorkerModel, WorkerProfile
 from millethead.lab.worker_server import WorkerServer
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 BOUNDS: dict[str, float] = {  # of tslca-sched
     "seed_lag_s": 3,
