Keep the cancel of an unknown job as a tombstone, so that a late hand-in never runs

Cause: the head answered 410 from a read and kept nothing. 410 acknowledges the cancel, but the hand-in that still lay in the frozen dispatcher's socket was a new job to the head.

What else could explain the record, and what ruled it out (one play with its disks and logs kept): - a stale head or a state behind the head's: all members log one view and one head_serving, epoch 1, throughout; - the job was accepted before the DELETE: the log on disk has one SubmitJob of it, entry 3, stamped by the head at the wake (record time 10.998 s, the 410 at 6.502 s); the entry before it is the configuration; - the dispatcher's client sent the call again to another head: one epoch, one SubmitJob; - an agent carried a start out late: AssignRuns is entry 4, 6 ms after the hand-in; - the second dispatcher answered by itself: it has no 410. The log on disk was enough to tell these apart; a log event and a metric are added for the next time.

Change: the cancel of an unknown job is committed (CancelJob) and leaves a tombstone in the job table; 410 waits for that commit. No job is accepted under a name with a tombstone, at the door (410, cancelled_job_refused) and in the state machine. It works since the record is agreed like the job itself and the copy names the same job.

--- a/millethead/control/call_handler.py
+++ b/millethead/control/call_handler.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import structlog
+
 from millethead.configuration.change import Verdict
 from millethead.configuration.model import Route
 from millethead.configuration.routing import RouteTable
@@ -21,6 +23,8 @@
 from millethead.jobs.description import InvalidJob, read_job
 from millethead.jobs.state import Job, Outcome, job_bytes
 
+log = structlog.get_logger()
+
 JOB_NAME_PATTERN = re.compile(r"[0-9a-f]{16}")
 MAX_JOBS = 50_000  # in the job table; further jobs are refused until some have been purged
 MAX_JOB_BYTES = 64 << 20  # accounted size of all jobs, unless derived from the machine (`control.admission`)
@@ -127,6 +131,10 @@
         if self._state.jobs.find(name) is not None:
             self._reply_when_confirmed(reply, answer)  # repeated submission of the same job
             return
+        if name in self._state.jobs.tombstones:
+            log.info("cancelled_job_refused", job=name)
+            self._reply_when_confirmed(reply, _error(call.number, 410, "the job was cancelled before it came"))
+            return
         try:
             description = read_job(call.body)
         except InvalidJob as error:
@@ -153,7 +161,7 @@
     def _cancel(self, call: JobCall, name: str, reply: Reply) -> None:
         job = self._state.jobs.find(name)
         if job is None:
-            self._reply_when_confirmed(reply, _error(call.number, 410, "no such job"))
+            self._cancel_unknown(call, name, reply)
             return
         if job.phase.is_final:
             self._reply_when_confirmed(reply, _answer(call.number, 200, {"state": job.phase.name.lower()}))
@@ -163,6 +171,15 @@
         self._callbacks.on_outcome(outcome)
         self._gate.after_commit(_answer(call.number, 200, {"state": "cancelled"}), reply)
 
+    def _cancel_unknown(self, call: JobCall, name: str, reply: Reply) -> None:
+        """Cancel a job that is not known. The answer waits for the commit of its tombstone."""
+        if not self._state.jobs.tombstones.has_room_for(name):
+            answer = _error(call.number, 503, "too many unknown jobs were cancelled", OVERLOAD_RETRY_AFTER_S)
+            self._reply_when_confirmed(reply, answer)
+            return
+        self._gate.propose(CancelJob(name, self._wall_ms()))
+        self._gate.after_commit(_error(call.number, 410, "no such job"), reply)
+
     def _job_status(self, call: JobCall, name: str, reply: Reply) -> None:
         job = self._state.jobs.find(name)
         if job is None:
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -40,7 +40,13 @@
 from millethead.control.configuration_stream import CallerSession, ConfigurationStream, StoredConfiguration
 from millethead.control.drains import OK, DrainReason, drain_answer, runs_to_evacuate
 from millethead.control.inspect import inspect
-from millethead.control.retention import PURGE_INTERVAL_S, TRIM_INTERVAL_S, purge_command, trim_command
+from millethead.control.retention import (
+    PURGE_INTERVAL_S,
+    TRIM_INTERVAL_S,
+    purge_command,
+    purge_interval_s,
+    trim_command,
+)
 from millethead.control.scheduler_sync import Moment, SchedulerSync
 from millethead.control.scheduling_loop import HeadClock, SchedulingLoop, read_clocks
 from millethead.control.state import ControlState
@@ -409,8 +415,9 @@
                 self.scheduling.preempt(preemption)
             self.scheduling.request_pass()
         if moment.now >= self._next_purge:
-            self._next_purge = moment.now + PURGE_INTERVAL_S
-            self._propose_if_any(purge_command(self.state.jobs.jobs.values(), moment.wall_ms, self._job_retention_s))
+            purge = purge_command(self.state.jobs, moment.wall_ms, self._job_retention_s)
+            self._next_purge = moment.now + purge_interval_s(purge)
+            self._propose_if_any(purge)
         if moment.now >= self._next_trim:
             self._next_trim = moment.now + TRIM_INTERVAL_S
             self._propose_if_any(trim_command(self.state.jobs.jobs.values()))
--- a/millethead/control/retention.py
+++ b/millethead/control/retention.py
@@ -1,23 +1,25 @@
-"""Retention of ended jobs: which may be purged, and which may be trimmed to their final state."""
+"""Retention of ended jobs and of tombstones: what may be purged, and which jobs may be trimmed to their final state."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from itertools import islice
+from itertools import chain, islice
 
 from millethead.jobs.commands import PurgeJobs, TrimJobs
-from millethead.jobs.state import Job
+from millethead.jobs.state import Job, JobTable
 
 PURGE_INTERVAL_S = 20.0  # between two purges
+FULL_PURGE_INTERVAL_S = 1.0  # after a purge of MAX_JOBS_PER_COMMAND, since there may be more
 TRIM_INTERVAL_S = 5.0  # between two trims
 RETENTION_MARGIN_S = 60.0  # added to the retention period of ended jobs, because the time of day may jump
 MAX_JOBS_PER_COMMAND = 1000
 
 
-def purge_command(jobs: Iterable[Job], wall_ms: int, job_retention_s: float) -> PurgeJobs | None:
-    """Return the command that purges jobs whose retention period is over; None if there are none."""
+def purge_command(table: JobTable, wall_ms: int, job_retention_s: float) -> PurgeJobs | None:
+    """Return the command that purges jobs and tombstones whose retention period is over; None if there are none."""
     ended_before_ms = wall_ms - int((job_retention_s + RETENTION_MARGIN_S) * 1000)
-    names = (job.name for job in jobs if _has_ended(job) and job.ended_ms < ended_before_ms)
+    ended = (job.name for job in table.jobs.values() if _has_ended(job) and job.ended_ms < ended_before_ms)
+    names = chain(ended, table.tombstones.cancelled_before(ended_before_ms))
     found = tuple(islice(names, MAX_JOBS_PER_COMMAND))
     return PurgeJobs(found) if found else None
 
@@ -28,5 +30,11 @@
     return TrimJobs(found) if found else None
 
 
+def purge_interval_s(command: PurgeJobs | None) -> float:
+    """Return the time until the next purge, given the command of the last one."""
+    is_full = command is not None and len(command.jobs) == MAX_JOBS_PER_COMMAND
+    return FULL_PURGE_INTERVAL_S if is_full else PURGE_INTERVAL_S
+
+
 def _has_ended(job: Job) -> bool:
     return job.phase.is_final and not job.open_runs
--- a/millethead/control/state.py
+++ b/millethead/control/state.py
@@ -1,4 +1,4 @@
-"""Replicated state of the core: the configuration, all jobs and the drained nodes."""
+"""Replicated state of the core: the configuration, all jobs with their tombstones, and the drained nodes."""
 
 from __future__ import annotations
 
--- a/millethead/jobs/commands.py
+++ b/millethead/jobs/commands.py
@@ -70,7 +70,7 @@
 @tagged(202)
 @dataclass(frozen=True, slots=True)
 class CancelJob(Record):
-    """A job is cancelled."""
+    """A job is cancelled. One that is not known gets a tombstone."""
 
     job: str
     at_ms: U64
@@ -157,6 +157,6 @@
 @tagged(206)
 @dataclass(frozen=True, slots=True)
 class PurgeJobs(Record):
-    """Jobs that ended long ago are removed."""
+    """Jobs that ended long ago are removed, and tombstones of jobs that were cancelled long ago."""
 
     jobs: tuple[str, ...]
--- a/millethead/jobs/snapshot.py
+++ b/millethead/jobs/snapshot.py
@@ -1,5 +1,5 @@
 """Encoding of the job table in snapshots. Jobs are encoded and restored in slices, so that a large table does not block
-the event loop."""
+the event loop. The tombstones follow the last job; tables from before there were tombstones end there."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from millethead.jobs.commands import QueueTerms, TaskRun
 from millethead.jobs.description import NOTHING, read_job
 from millethead.jobs.state import Job, JobPhase, JobTable, StepState, Task
+from millethead.jobs.tombstones import Tombstones
 from millethead.rpc.codec import U8, U32, U64, CodecError, Record, decode_at, encode
 
 JOBS_PER_SLICE = 50  # jobs encoded or restored in one slice
@@ -48,7 +49,7 @@
         encoded = self._encoded
         parts = [encoded.get(job.name) or encode(_job_snapshot(job)) for job in self._table.jobs.values()]
         self.discard()
-        return b"".join([_COUNT.pack(len(parts)), *parts])
+        return b"".join([_COUNT.pack(len(parts)), *parts, self._table.tombstones.encode()])
 
     def discard(self) -> None:
         """Discards the prepared encodings."""
@@ -72,8 +73,7 @@
         _restore_job(table, job_snapshot)
         if number % JOBS_PER_SLICE == JOBS_PER_SLICE - 1:
             yield
-    if at != len(data):
-        raise CodecError(f"{len(data) - at} bytes behind the last job")
+    table.tombstones = Tombstones.decode(data[at:])
 
 
 def _restore_job(table: JobTable, snapshot: _JobSnapshot) -> None:
--- a/millethead/jobs/state.py
+++ b/millethead/jobs/state.py
@@ -25,6 +25,7 @@
     TrimJobs,
 )
 from millethead.jobs.description import NOTHING, JobDescription, read_job
+from millethead.jobs.tombstones import Tombstones
 
 # Memory that a job is accounted with, in bytes, including what the scheduler keeps of it while it is queued.
 JOB_BYTES, STEP_BYTES, TASK_BYTES = 2048, 1024, 512
@@ -181,11 +182,12 @@
 
 class JobTable:
     """All jobs. Each command of the replicated log has one method. `open` maps each task with an open run (job, time,
-    step, index) to that run. `held_bytes` is the memory that all jobs are accounted with. `changed` is called with the
-    name of each job that a command changes."""
+    step, index) to that run. `tombstones` has the jobs that were cancelled before they were known. `held_bytes` is the
+    memory that all jobs are accounted with. `changed` is called with the name of each job that a command changes."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
+        self.tombstones = Tombstones()
         self.open: dict[tuple[str, int, int, int], TaskRun] = {}
         self.held_bytes = 0
         self.changed: Callable[[str], None] = _ignore_change
@@ -218,6 +220,8 @@
     def submit(self, command: SubmitJob) -> Outcome:
         if command.job in self.jobs:
             return Outcome(accepted=True)
+        if command.job in self.tombstones:
+            return Outcome(accepted=False)
         self.add(Job(command.job, command.terms, read_job(command.body), command.body, command.at_ms))
         return Outcome()
 
@@ -228,9 +232,12 @@
         self.changed(job.name)
 
     def cancel(self, command: CancelJob) -> Outcome:
+        """Cancels a job. A job that is not known gets a tombstone, so that it is not accepted afterwards."""
         job = self.jobs.get(command.job)
         outcome = Outcome(accepted=job is not None)
-        if job is not None and not job.phase.is_final:
+        if job is None:
+            self.tombstones.add(command.job, command.at_ms)
+        elif not job.phase.is_final:
             self._end_job(job, JobPhase.CANCELLED, command.at_ms, outcome)
         return outcome
 
@@ -264,7 +271,9 @@
         return Outcome()
 
     def purge(self, command: PurgeJobs) -> Outcome:
+        """Removes ended jobs without open runs, and tombstones."""
         for name in command.jobs:
+            self.tombstones.remove(name)
             job = self.jobs.get(name)
             if job is not None and job.phase.is_final and not job.open_runs:
                 del self.jobs[name]
--- a/millethead/lab/system_facts.py
+++ b/millethead/lab/system_facts.py
@@ -51,7 +51,9 @@
         return any(span.kind not in but and span.begins <= ends and span.ends >= begins for span in self.spans)
 
 
-HARMLESS = frozenset(("configuration", "hopeless", "new worker", "drain", "worker", "grey", "late", "burst"))
+HARMLESS = frozenset(
+    ("configuration", "hopeless", "new worker", "drain", "worker", "grey", "late", "burst", "dispatcher")
+)
 
 
 @dataclass(slots=True)
--- a/millethead/lab/system_troubles.py
+++ b/millethead/lab/system_troubles.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from millethead.lab.core_time import Timeline
-from millethead.lab.system_clients import Clients
+from millethead.lab.system_clients import Clients, Dispatcher
 from millethead.lab.system_core import Core, HeadChange
 from millethead.lab.system_facts import TroubleLog
 from millethead.lab.system_side import CallTrouble, SideMachine
@@ -34,6 +34,7 @@
     core: Core
     sides: list[SideMachine]
     clients: Clients
+    dispatchers: list[Dispatcher]
 
     def new_life(self, side: SideMachine) -> None:
         """A worker is started on a machine that has none."""
@@ -298,6 +299,22 @@
 
         self._world.timeline.after(lasts, end)
 
+    def freeze_dispatcher(self) -> None:
+        """A dispatcher's machine freezes and wakes again; clients leave early and cancel what they handed in."""
+        dispatcher = self._random.choice(self._world.dispatchers)
+        if dispatcher.frozen:
+            return
+        lasts, clients = self._length(), self._world.clients
+        self._note("dispatcher", dispatcher.name, lasts, "dispatcher frozen")
+        dispatcher.freeze()
+        clients.leaving = self._random.choice((0.0, 0.3, 0.6))
+
+        def end() -> None:
+            clients.leaving = 0.0
+            dispatcher.thaw()
+
+        self._world.timeline.after(lasts, end)
+
     def burst(self) -> None:
         self._note("burst", "", 3.0, "burst")
         self._world.burst()
@@ -329,6 +346,7 @@
     "calls": Troubles.trouble_calls,
     "grey": Troubles.grey_worker,
     "clients": Troubles.lose_answers,
+    "dispatcher": Troubles.freeze_dispatcher,
     "burst": Troubles.burst,
     "configuration": Troubles.change_configuration,
     "cancel": Troubles.cancel_many,
--- a/millethead/lab/system_world.py
+++ b/millethead/lab/system_world.py
@@ -338,6 +338,9 @@
             self.timeline.after(self.random.uniform(0, HEAL_S), side.start_agent)
         for clock in self.core.clocks:
             clock.wall_error_ms = 0.0
+        for dispatcher in self.dispatchers:
+            dispatcher.thaw()
+        self.clients.leaving = 0.0
         self.timeline.after(HEAL_S, self.core.heal)
         self.clients.loss = 0.0
 
--- a/millethead/programs/control_metrics.py
+++ b/millethead/programs/control_metrics.py
@@ -45,6 +45,8 @@
     yield gauge("configuration_version", "Version of the committed configuration.", configuration.version)
     yield gauge("dispatchers", "Dispatchers connected to the head.", len(status.dispatchers))
     yield gauge("dispatchers_behind", "Of these, with an older configuration in force.", behind)
+    tombstones = len(head.state.jobs.tombstones)
+    yield gauge("tombstones", "Jobs that were cancelled before they were known.", tombstones)
     yield gauge("open_runs", "Runs that are assigned and have not ended.", status.open_runs)
     yield MetricFamily(
         "jobs",
--- a/tests/test_system_world.py
+++ b/tests/test_system_world.py
@@ -11,7 +11,8 @@
 import pytest
 
 from millethead.control.agents import AgentRegistry, AgentSession, WorkerOrders
-from millethead.control.call_handler import CallHandler
+from millethead.control.call_handler import CallHandler, Reply
+from millethead.control.calls import CallAnswer, JobCall
 from millethead.control.commit import CommitGate, Committed
 from millethead.control.head import Head
 from millethead.control.scheduler_sync import SchedulerSync
@@ -249,6 +250,15 @@
     patch.setattr(SchedulerSync, "job_ended", lambda scheduler_sync, job: None)
 
 
+def unknown_cancel_not_kept(patch: Patch) -> None:
+    """The cancel of an unknown job is answered and leaves no tombstone."""
+
+    def cancel(handler: CallHandler, call: JobCall, name: str, reply: Reply) -> None:
+        handler._reply_when_confirmed(reply, CallAnswer(call.number, 410, b"{}", 0))
+
+    patch.setattr(CallHandler, "_cancel_unknown", cancel)
+
+
 def leases_in_stale_sessions(patch: Patch) -> None:
     """A session outlives the end of its lease."""
     patch.setattr(AgentRegistry, "end_session", lambda agents, node: None)
@@ -291,6 +301,7 @@
     mutant(due_ignored, "ORDER", ""),
     mutant(dependencies_ignored, "ORDER", ""),
     mutant(cancel_stops_nothing, "UNASKED", "cancel"),
+    mutant(unknown_cancel_not_kept, "UNASKED", "dispatcher"),
     mutant(leases_in_stale_sessions, "TWICE LOST", "freeze cut", lengths_s=LONG),
 ]
 
