Ignore calls on connections that their caller has replaced, so that a refusal holds

Cause: a dispatcher that hears nothing for 1 s replaces its connection to the head and sends pending calls again. The kernel still delivers what lay on the old connection. The newer copy was refused and the client told so; by the time that the older copy came, the queue existed, and it was accepted. Copies at other heads are fenced by the epoch in each call; a head that leads on in the next view takes the epochs of both.

The memory of the head is enough: one that has lost it takes no call of earlier epochs, which is agreed. New log event stale_call_ignored.

--- a/millethead/control/calls.py
+++ b/millethead/control/calls.py
@@ -1,13 +1,30 @@
-"""Records exchanged between the head and its callers: dispatchers and command-line clients."""
+"""Records exchanged between the head and its callers: dispatchers and command-line clients.
+
+The number of a call identifies it among all calls of all callers. Copies of a call have the same number. Its upper bits
+identify the caller; they are 0 for callers from before that was so.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from random import Random
 
 from millethead.replication.log_position import LogPosition
 from millethead.replication.view import View
 from millethead.rpc.codec import U16, U32, U64, Record, tagged
 
+CALLER_ID_BITS, CALL_COUNTER_BITS = 32, 32  # parts of the number of a call
+
+
+def new_call_numbers(random: Random) -> int:
+    """Return the number before the first call of a new caller, which draws its caller id."""
+    return (1 + random.getrandbits(CALLER_ID_BITS) % ((1 << CALLER_ID_BITS) - 1)) << CALL_COUNTER_BITS
+
+
+def caller_id(number: int) -> int:
+    """Return the caller id in the number of a call; 0 if the caller has none."""
+    return number >> CALL_COUNTER_BITS
+
 
 @tagged(120)
 @dataclass(frozen=True, slots=True)
@@ -123,6 +140,9 @@
     drained: bool
 
 
+Call = JobCall | ConfigurationCall | InspectCall | DrainCall
+
+
 @tagged(140)
 @dataclass(frozen=True, slots=True)
 class CallAnswer(Record):
--- a/millethead/control/client.py
+++ b/millethead/control/client.py
@@ -22,6 +22,7 @@
     ConfigurationUpdate,
     HeadAnswer,
     HeadCall,
+    new_call_numbers,
 )
 from millethead.control.configuration_stream import ActiveConfiguration
 from millethead.replication.view import NO_VIEW, View
@@ -92,7 +93,7 @@
         self._members: dict[str, _MemberConnection] = {}
         self._head: _MemberConnection | None = None
         self._calls: dict[int, _PendingCall] = {}
-        self._last_number = 0
+        self._last_number = new_call_numbers(random)
         self.disconnected_at: float | None = None
         self._ping_task: asyncio.Task[None] | None = None
 
--- a/millethead/control/configuration_stream.py
+++ b/millethead/control/configuration_stream.py
@@ -25,7 +25,8 @@
     """Session of a caller, a program that sends the calls of clients or of the operator.
 
     `configuration` and `place` are the version and the log position of the configuration in force at the caller.
-    `sent_place` is the log position of the configuration that was sent to it last.
+    `sent_place` is the log position of the configuration that was sent to it last. `number` is the place of the session
+    in the order in which the head opened its sessions.
     """
 
     node: str
@@ -34,6 +35,7 @@
     configuration: int
     place: LogPosition
     sent_place: LogPosition = NO_POSITION
+    number: int = 0
 
     def to_hello(self) -> CallerHello:
         """Return the hello that represents this session for the head of another epoch."""
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -14,7 +14,9 @@
 from millethead.control.agent_monitor import AgentMonitor
 from millethead.control.agents import LEASE_S, AgentRegistry, AgentSession, RunStop
 from millethead.control.call_handler import MAX_JOB_BYTES, CallHandler, Reply, StateChangeCallbacks
+from millethead.control.caller_fence import CallerFence
 from millethead.control.calls import (
+    Call,
     CallAnswer,
     CallerHello,
     CallerPing,
@@ -27,6 +29,7 @@
     HeadCall,
     InspectCall,
     JobCall,
+    caller_id,
 )
 from millethead.control.commit import (
     ChainHead,
@@ -115,6 +118,7 @@
         self.configuration_stream = ConfigurationStream(view.epoch, state.configuration, self.gate)
         callbacks = StateChangeCallbacks(self._job_submitted, self._apply_outcome, self._configuration_committed)
         self._call_handler = CallHandler(state, self.gate, callbacks, clock.wall_ms, max_job_bytes)
+        self._caller_fence, self._caller_sessions = CallerFence(), 0
         self._next_check = clock.now() + CHECK_INTERVAL_S
         self._next_purge = clock.now() + PURGE_INTERVAL_S
         self._next_trim = clock.now() + TRIM_INTERVAL_S
@@ -143,20 +147,30 @@
         """Open the session of a caller, a program that sends the calls of clients or of the operator."""
         committed_link = CommittedLink(link, self._chain)
         committed_link.send(from_view(CallerWelcome(self.view, True)))
-        return self.configuration_stream.add_caller(committed_link, hello)
+        caller = self.configuration_stream.add_caller(committed_link, hello)
+        self._caller_sessions += 1
+        caller.number = self._caller_sessions
+        return caller
 
     def caller_record(self, caller: CallerSession, record: Record) -> None:
         """Handle a record from a caller."""
         match record:
             case HeadCall(epoch=epoch, call=data):
                 if self._first_epoch <= epoch <= self.view.epoch:
-                    self.call(caller, decode_any(data), epoch)
+                    self._call_received(caller, decode_any(data), epoch)
             case ConfigurationAck():
                 self.configuration_stream.record_ack(caller, record)
             case CallerPing(epoch=epoch, serving=serving):
                 current = epoch == self.view.epoch and serving
                 caller.link.send(from_view(CallerPong() if current else CallerWelcome(self.view, True)))
 
+    def _call_received(self, caller: CallerSession, record: Record, epoch: int) -> None:
+        """Handle a call, unless its caller has replaced the connection: then a newer copy may have been answered."""
+        if isinstance(record, Call) and not self._caller_fence.admits(caller_id(record.number), caller.number):
+            log.info("stale_call_ignored", node=caller.node)
+            return
+        self.call(caller, record, epoch)
+
     def call(self, caller: CallerSession, record: Record, epoch: int | None = None) -> None:
         """Handle a call that was sent to this head in `epoch`, or in the present epoch if that is None.
 
--- a/millethead/lab/system_clients.py
+++ b/millethead/lab/system_clients.py
@@ -21,7 +21,9 @@
     HeadAnswer,
     HeadCall,
     JobCall,
+    new_call_numbers,
 )
+from millethead.control.client import MEMBER_TIMEOUT_S
 from millethead.control.configuration_stream import ActiveConfiguration
 from millethead.lab.core_time import Timeline
 from millethead.lab.system_jobs import JobPlan
@@ -63,7 +65,7 @@
         self.name, self._told = name, told
         self._timeline, self._random, self._find = timeline, random, find
         self._calls: dict[int, _Call] = {}
-        self._number = 0
+        self._number = new_call_numbers(random)
         self._wire: Wire | None = None
         self._serving = False
         self.held = ActiveConfiguration()
@@ -148,6 +150,22 @@
             wire.near.close()
             self._lost(wire)
 
+    def stall_connection(self, lasts_s: float) -> None:
+        """Nothing arrives on the connection for a while. The dispatcher replaces it by another one; what was sent on it
+        arrives in the end."""
+        wire = self._wire
+        if wire is None:
+            return
+        wire.set_cut(True)
+        self._after(MEMBER_TIMEOUT_S, lambda: self._abandon(wire))
+        self._timeline.after(lasts_s, lambda: wire.set_cut(False))
+
+    def _abandon(self, wire: Wire) -> None:
+        if wire.cut:
+            wire.near.vanish()
+            wire.carry(wire.far, None)
+            self._lost(wire)
+
     def _answered(self, epoch: int, answer: CallAnswer) -> None:
         call = self._calls.get(answer.number)
         if call is not None and call.epoch == epoch:
--- a/millethead/lab/system_troubles.py
+++ b/millethead/lab/system_troubles.py
@@ -315,6 +315,12 @@
 
         self._world.timeline.after(lasts, end)
 
+    def stall_caller(self) -> None:
+        """A dispatcher's connection to the head carries nothing for a while."""
+        dispatcher, lasts = self._random.choice(self._world.dispatchers), self._length()
+        self._note("dispatcher", dispatcher.name, lasts, "connection of a dispatcher stalled")
+        dispatcher.stall_connection(lasts)
+
     def burst(self) -> None:
         self._note("burst", "", 3.0, "burst")
         self._world.burst()
@@ -347,6 +353,7 @@
     "grey": Troubles.grey_worker,
     "clients": Troubles.lose_answers,
     "dispatcher": Troubles.freeze_dispatcher,
+    "caller": Troubles.stall_caller,
     "burst": Troubles.burst,
     "configuration": Troubles.change_configuration,
     "cancel": Troubles.cancel_many,
--- a/tests/test_system_world.py
+++ b/tests/test_system_world.py
@@ -12,6 +12,7 @@
 
 from millethead.control.agents import AgentRegistry, AgentSession, WorkerOrders
 from millethead.control.call_handler import CallHandler, Reply
+from millethead.control.caller_fence import CallerFence
 from millethead.control.calls import CallAnswer, JobCall
 from millethead.control.commit import CommitGate, Committed
 from millethead.control.head import Head
@@ -259,6 +260,11 @@
     patch.setattr(CallHandler, "_cancel_unknown", cancel)
 
 
+def replaced_connections_heard(patch: Patch) -> None:
+    """The head handles calls on connections that their caller has replaced."""
+    patch.setattr(CallerFence, "admits", lambda fence, caller, session: True)
+
+
 def leases_in_stale_sessions(patch: Patch) -> None:
     """A session outlives the end of its lease."""
     patch.setattr(AgentRegistry, "end_session", lambda agents, node: None)
@@ -302,6 +308,7 @@
     mutant(dependencies_ignored, "ORDER", ""),
     mutant(cancel_stops_nothing, "UNASKED", "cancel"),
     mutant(unknown_cancel_not_kept, "UNASKED", "dispatcher"),
+    mutant(replaced_connections_heard, "REFUSED", "caller configuration clients", gap_s=0.5, job_gap_s=0.2),
     mutant(leases_in_stale_sessions, "TWICE LOST", "freeze cut", lengths_s=LONG),
 ]
 
