A drain order names the newest order it builds on, so that a late copy is refused

The same the other way round.

Cause: the call said nothing of what it built on, so a late copy was a new order; an order that changed nothing was answered from a read and left no trace. Not the epoch: a call names it, and copies at earlier heads are dropped. Not a replaced connection: each command is a program, and a caller, of its own.

Change: the call (now tag 134) names the log position of the newest drain order, which the command asks for first. The head takes it if that is still the newest, and commits it even where it changes nothing; else it acknowledges what holds already (a repetition) or answers 412, and the command ends with 1.

Test changed: test_repeated_drain_proposes_nothing gave two calls without saying which; it now gives the same call twice (both build on the first state) and asserts the same. Two new calls are two orders.

--- a/millethead/control/calls.py
+++ b/millethead/control/calls.py
@@ -130,14 +130,19 @@
     what: str
 
 
-@tagged(133)
+@tagged(134)
 @dataclass(frozen=True, slots=True)
 class DrainCall(Record):
-    """The operator's request to drain the worker of a node (`drained` is true) or to undo that."""
+    """The operator's request to drain the worker of a node (`drained` is true) or to undo that.
+
+    `place` is the log position of the newest drain order that the caller knows of. The call is refused if there has
+    been another one since, so a delayed copy cannot undo what a later call was answered.
+    """
 
     number: U64
     node: str
     drained: bool
+    place: LogPosition
 
 
 Call = JobCall | ConfigurationCall | InspectCall | DrainCall
--- a/millethead/control/drains.py
+++ b/millethead/control/drains.py
@@ -19,7 +19,7 @@
 from millethead.jobs.drained import MAX_DRAINED_NODES
 from millethead.jobs.state import JobTable
 
-OK, NOT_FOUND, TOO_MANY = 200, 404, 429
+OK, NOT_FOUND, CONFLICT, TOO_MANY = 200, 404, 412, 429
 REMAINING_TIME_SHARE = 0.9  # a run stays on a worker if it ends within this fraction of the worker's remaining time
 
 
@@ -62,8 +62,11 @@
     """Return the answer to a drain call, to be sent once its command is committed.
 
     A node without a connected agent cannot be drained, because its name may be misspelt. A drained node can always be
-    put back into use.
+    put back into use. A call that does not build on the newest order is only acknowledged if what it asks for holds
+    already: it may be the repetition of one that was accepted.
     """
+    if not builds_on_newest_order(state, call) and (call.node in state.drained) != call.drained:
+        return _refusal(call, CONFLICT, "another order came in between, see `millethead status`")
     session = agents.sessions.get(call.node)
     if session is None and call.node not in state.drained:
         return _refusal(call, NOT_FOUND, f"no agent of a node {call.node} is connected")
@@ -78,6 +81,11 @@
     return CallAnswer(call.number, OK, msgspec.json.encode(report), 0)
 
 
+def builds_on_newest_order(state: ControlState, call: DrainCall) -> bool:
+    """Return whether the caller knew of the newest order when it made the call."""
+    return call.place == state.drained.place
+
+
 def _refusal(call: DrainCall, status: int, text: str) -> CallAnswer:
     return CallAnswer(call.number, status, msgspec.json.encode({"error": text}), 0)
 
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -41,7 +41,7 @@
     split_committed,
 )
 from millethead.control.configuration_stream import CallerSession, ConfigurationStream, StoredConfiguration
-from millethead.control.drains import OK, DrainReason, drain_answer, runs_to_evacuate
+from millethead.control.drains import OK, DrainReason, builds_on_newest_order, drain_answer, runs_to_evacuate
 from millethead.control.inspect import inspect
 from millethead.control.retention import (
     PURGE_INTERVAL_S,
@@ -223,9 +223,10 @@
     def _drain(self, call: DrainCall, reply: Reply) -> None:
         """Handle an operator's call to drain a node or to undo that."""
         answer = drain_answer(self.state, self.agents, call)
-        if answer.status != OK or (call.node in self.state.drained) == call.drained:
+        if answer.status != OK or not builds_on_newest_order(self.state, call):
             self.gate.confirm(answer, reply)
             return
+        # committed even if it changes nothing, so that delayed copies of earlier calls are refused from now on
         self.gate.propose(DrainNode(call.node, call.drained))
         self.gate.after_commit(answer, reply)
         log.info("node_drained", node=call.node, drained=call.drained)
--- a/millethead/control/inspect.py
+++ b/millethead/control/inspect.py
@@ -25,7 +25,8 @@
 
 MAX_JOBS_SHOWN = 500  # the newest jobs
 MAX_TIMES_SHOWN = 50  # the newest times of one job
-STATUS, JOBS, JOB = "status", "jobs", "job"  # names of reports; the last two take a colon and a name
+STATUS, DRAINS = "status", "drains"  # names of reports
+JOBS, JOB = "jobs", "job"  # names of reports that take a colon and a name
 
 
 class HeadWaitReason(StrEnum):
@@ -111,6 +112,13 @@
     taken_out: tuple[str, ...]
 
 
+class DrainsReport(msgspec.Struct, frozen=True):
+    """The log position of the newest order to drain a node or to undo that; both are 0 before the first one."""
+
+    epoch: int
+    entry: int
+
+
 class JobSummary(msgspec.Struct, frozen=True):
     """One job in a list. `waiting` counts its waiting tasks by reason."""
 
@@ -199,8 +207,8 @@
 def inspect(head: ReportSource, what: str) -> bytes:
     """Return one report as JSON.
 
-    `what` is "status" (StatusReport), "jobs" or "jobs:QUEUE" (a list of JobSummary), or "job:ID" (JobReport, or null
-    for an unknown job). Any other value gives the status report.
+    `what` is "status" (StatusReport), "drains" (DrainsReport), "jobs" or "jobs:QUEUE" (a list of JobSummary), or
+    "job:ID" (JobReport, or null for an unknown job). Any other value gives the status report.
     """
     report, _, name = what.partition(":")
     if report == JOBS:
@@ -208,6 +216,9 @@
     if report == JOB:
         job = head.state.jobs.find(name)
         return msgspec.json.encode(None if job is None else _job(head, job))
+    if report == DRAINS:
+        place = head.state.drained.place
+        return msgspec.json.encode(DrainsReport(place.epoch, place.sequence))
     return msgspec.json.encode(status_report(head))
 
 
--- a/millethead/control/state.py
+++ b/millethead/control/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 
 from millethead.configuration.change import ConfigurationState, Decision, Method, Order, Verdict
@@ -21,7 +22,7 @@
 from millethead.jobs.drained import DrainedNodes
 from millethead.jobs.snapshot import TableEncoder, restore_table
 from millethead.jobs.state import JobTable, Outcome
-from millethead.replication.log_position import LogPosition
+from millethead.replication.log_position import NO_POSITION, LogPosition
 from millethead.rpc.codec import CodecError, Record, decode, decode_any, encode
 
 
@@ -32,6 +33,16 @@
     configuration: bytes
     jobs: bytes
     drained: tuple[str, ...]
+    drain_place: LogPosition
+
+
+@dataclass(frozen=True, slots=True)
+class StateSnapshotV2(Record):
+    """Snapshot format from before drains had a log position; still written while there has been no drain."""
+
+    configuration: bytes
+    jobs: bytes
+    drained: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,11 +54,14 @@
 
 
 def _read_snapshot(payload: bytes) -> StateSnapshot:
-    try:
+    """Decode a snapshot of any format. Raises CodecError."""
+    with suppress(CodecError):
         return decode(StateSnapshot, payload)
-    except CodecError:
-        old_format = decode(StateSnapshotV1, payload)
-        return StateSnapshot(old_format.configuration, old_format.jobs, ())
+    with suppress(CodecError):
+        second = decode(StateSnapshotV2, payload)
+        return StateSnapshot(second.configuration, second.jobs, second.drained, NO_POSITION)
+    first = decode(StateSnapshotV1, payload)
+    return StateSnapshot(first.configuration, first.jobs, (), NO_POSITION)
 
 
 def configuration_order(command: ChangeConfiguration) -> Order:
@@ -93,7 +107,7 @@
                 self.configuration.refuse(digest)
                 return None
             case DrainNode():
-                self.drained.apply(command)
+                self.drained.apply(command, place)
                 return None
         raise ValueError(f"{type(command).__name__} is not a command")
 
@@ -113,7 +127,10 @@
 
     def snapshot(self) -> bytes:
         """Return the encoded state."""
-        return encode(StateSnapshot(self.configuration.encode(), self._encoder.encode(), self.drained.names()))
+        configuration, jobs, drained = self.configuration.encode(), self._encoder.encode(), self.drained.names()
+        if self.drained.place == NO_POSITION:
+            return encode(StateSnapshotV2(configuration, jobs, drained))
+        return encode(StateSnapshot(configuration, jobs, drained, self.drained.place))
 
     def restore(self, payload: bytes) -> None:
         """Replace the state by that of a snapshot. Empty bytes stand for the initial state."""
@@ -128,5 +145,5 @@
         if payload:
             snapshot = _read_snapshot(payload)
             self.configuration = ConfigurationState.decode(snapshot.configuration)
-            self.drained = DrainedNodes(snapshot.drained)
+            self.drained = DrainedNodes(snapshot.drained, snapshot.drain_place)
             yield from restore_table(self.jobs, snapshot.jobs)
--- a/millethead/programs/core_client.py
+++ b/millethead/programs/core_client.py
@@ -14,8 +14,9 @@
 from millethead.configuration.settings import ProcessSettings
 from millethead.control.calls import CallAnswer, DrainCall, InspectCall
 from millethead.control.client import CallFailed, HeadClient
-from millethead.control.drains import NOT_FOUND, OK, TOO_MANY, DrainReport
-from millethead.control.inspect import JOB, JOBS, STATUS, JobReport, JobSummary, StatusReport
+from millethead.control.drains import CONFLICT, NOT_FOUND, OK, TOO_MANY, DrainReport
+from millethead.control.inspect import DRAINS, JOB, JOBS, STATUS, DrainsReport, JobReport, JobSummary, StatusReport
+from millethead.replication.log_position import LogPosition
 from millethead.rpc.codec import Record
 
 CONFIG_PATH = "/-/config"
@@ -139,9 +140,11 @@
     def drain(self, node: str, drained: bool) -> DrainReport:
         """Drain the worker at a node, or undo that. Returns after the change is committed.
 
-        Raises CallRejected and CoreUnreachable.
+        Raises CallRejected, also if another order comes in between, and CoreUnreachable.
         """
-        answer = self._call(lambda number: DrainCall(number, node, drained), (OK, NOT_FOUND, TOO_MANY))
+        newest = msgspec.json.decode(self._inspect(DRAINS), type=DrainsReport)
+        place = LogPosition(newest.epoch, newest.entry)
+        answer = self._call(lambda number: DrainCall(number, node, drained, place), (OK, NOT_FOUND, CONFLICT, TOO_MANY))
         if answer.status != OK:
             raise CallRejected(answer.status, _findings(_object(answer.body)))
         return msgspec.json.decode(answer.body, type=DrainReport)
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -11,7 +11,7 @@
 
 from millethead.control.calls import CallAnswer, DrainCall
 from millethead.control.drains import DrainReport
-from millethead.control.state import ControlState, StateSnapshotV1
+from millethead.control.state import ControlState, StateSnapshotV1, StateSnapshotV2
 from millethead.execution.messages import RunEnd, WorkerUpdate
 from millethead.jobs import drained
 from millethead.jobs.commands import DrainNode
@@ -19,18 +19,21 @@
 from millethead.jobs.snapshot import encode_table
 from millethead.programs.command_line import ExitCode
 from millethead.programs.core_client import CoreClient
+from millethead.replication.log_position import NO_POSITION, LogPosition
 from millethead.rpc.codec import encode
 
 
-def drain(harness: HeadHarness, node: str, out: bool = True, number: int = 500) -> CallAnswer | None:
-    """Send a drain call; return its answer if there is one immediately."""
-    harness.head.call(harness.caller, DrainCall(number, node, out))
+def drain(
+    harness: HeadHarness, node: str, out: bool = True, number: int = 500, place: LogPosition | None = None
+) -> CallAnswer | None:
+    """Send a drain call that builds on the order at `place`, or on the newest one; return an immediate answer."""
+    harness.head.call(harness.caller, DrainCall(number, node, out, place or harness.state.drained.place))
     return harness.answers().get(number)
 
 
-def drain_and_settle(harness: HeadHarness, node: str, out: bool = True) -> CallAnswer:
+def drain_and_settle(harness: HeadHarness, node: str, out: bool = True, place: LogPosition | None = None) -> CallAnswer:
     """Send a drain call and return its answer after the commit."""
-    drain(harness, node, out)
+    drain(harness, node, out, place=place)
     harness.settle()
     answer = harness.answers()[500]
     assert isinstance(answer, CallAnswer)
@@ -106,7 +109,7 @@
     agent_after_change = later.agent(info=worker("i-9"))
     later.pass_time(2.0)
     assert agent_after_change.orders() == []
-    later.head.call(later.caller, DrainCall(501, "n-1", False))
+    later.head.call(later.caller, DrainCall(501, "n-1", False, copy.drained.place))
     later.settle()
     assert agent_after_change.orders() == [f"{task(0)}#1"]
 
@@ -126,7 +129,8 @@
 def test_repeated_drain_proposes_nothing():
     harness = HeadHarness()
     harness.agent(info=worker())
-    assert report(drain_and_settle(harness, "n-1")) == report(drain_and_settle(harness, "n-1"))
+    first = report(drain_and_settle(harness, "n-1", place=NO_POSITION))
+    assert report(drain_and_settle(harness, "n-1", place=NO_POSITION)) == first
     assert harness.proposed(DrainNode) == [DrainNode("n-1", True)]
 
 
@@ -139,10 +143,73 @@
     assert drain_and_settle(harness, "n-1").status == 200
     assert drain_and_settle(harness, "n-2").status == 429
     nodes = DrainedNodes(("n-1",))
-    nodes.apply(DrainNode("n-2", True))
+    nodes.apply(DrainNode("n-2", True), LogPosition(1, 9))
     assert nodes.names() == ("n-1",)
 
 
+def later_head(harness: HeadHarness) -> HeadHarness:
+    """The next head, which has the state from a snapshot."""
+    copy = ControlState()
+    copy.restore(harness.state.snapshot())
+    return HeadHarness(copy, epoch=2)
+
+
+@pytest.mark.parametrize("out", [True, False], ids=["drain", "undo"])
+def test_late_copy_of_a_call_does_not_undo_what_a_later_call_was_answered(out):
+    """Guards against tasks on a node whose drain was acknowledged: a late copy of its undoing was applied."""
+    harness = HeadHarness()
+    harness.agent(info=worker())
+    if not out:
+        drain_and_settle(harness, "n-1")
+    known = harness.state.drained.place
+    report(drain_and_settle(harness, "n-1", not out))
+    assert drain_and_settle(harness, "n-1", out, known).status == 412
+    assert ("n-1" in harness.state.drained) is not out
+
+
+@pytest.mark.parametrize("out", [True, False], ids=["drain", "undo"])
+def test_late_copy_is_refused_by_the_next_head_too(out):
+    """Guards against a newcomer that knows the drained nodes, but not that the copy is older."""
+    harness = HeadHarness()
+    harness.agent(info=worker())
+    if not out:
+        drain_and_settle(harness, "n-1")
+    known = harness.state.drained.place
+    drain_and_settle(harness, "n-1", not out)
+    later = later_head(harness)
+    later.agent(info=worker())
+    assert drain_and_settle(later, "n-1", out, known).status == 412
+    assert later.state.snapshot() == harness.state.snapshot()
+
+
+def test_call_that_was_accepted_before_a_change_of_the_head_is_acknowledged_again():
+    harness = HeadHarness()
+    harness.agent(info=worker())
+    drain_and_settle(harness, "n-1", place=NO_POSITION)
+    later = later_head(harness)
+    later.agent(info=worker())
+    assert report(drain_and_settle(later, "n-1", place=NO_POSITION)).drained
+    assert later.proposed(DrainNode) == []
+
+
+def test_call_that_builds_on_the_newest_order_is_taken():
+    harness = HeadHarness()
+    harness.agent(info=worker())
+    for out in (True, False, False, True):
+        assert report(drain_and_settle(harness, "n-1", out)).drained is out
+    assert len(harness.proposed(DrainNode)) == 4
+
+
+def test_snapshot_of_the_second_format_is_restored():
+    harness = HeadHarness()
+    harness.ask("POST", NAME, job())
+    second = StateSnapshotV2(harness.state.configuration.encode(), encode_table(harness.state.jobs), ("n-1",))
+    copy = ControlState()
+    copy.restore(encode(second))
+    assert (copy.drained.names(), copy.drained.place) == (("n-1",), NO_POSITION)
+    assert copy.snapshot() == encode(second)
+
+
 def test_snapshot_of_the_first_format_is_restored():
     harness = HeadHarness()
     harness.ask("POST", NAME, job())
@@ -188,3 +255,19 @@
     refused = run("drain", "side-9", "--control", "127.0.0.1:1", "--internal-port", 7660)
     assert refused.exit_code == ExitCode.NEGATIVE
     assert "side-9" in refused.stderr
+
+
+def test_drain_after_another_order_fails(in_process_head, monkeypatch):
+    """Another operator's order is committed between the command's look at the core and its call."""
+    in_process_head.add_worker()
+    call = CoreClient._call
+
+    def interrupted(client, make, clear=(200,)):
+        if isinstance(make(900), DrainCall):
+            in_process_head.head.state.drained.place = LogPosition(1, 1000)
+        return call(client, make, clear)
+
+    monkeypatch.setattr(CoreClient, "_call", interrupted)
+    refused = run("drain", "side-1", "--control", "127.0.0.1:1", "--internal-port", 7660)
+    assert refused.exit_code == ExitCode.NEGATIVE
+    assert "another order" in refused.stderr
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -21,6 +21,7 @@
 from millethead.programs.agent_metrics import agent_metrics
 from millethead.programs.control_metrics import head_metrics, member_metrics
 from millethead.programs.dispatcher_metrics import dispatcher_metrics
+from millethead.replication.log_position import NO_POSITION
 from millethead.scheduling.model import StepKey
 from millethead.web.dispatch import dispatch
 from millethead.web.metrics import (
@@ -76,7 +77,7 @@
     harness.agent("n-2", worker("i-2"))
     harness.ask("POST", NAME, job({"count": 3}))
     harness.settle()
-    harness.head.call(harness.caller, DrainCall(500, "n-2", True))
+    harness.head.call(harness.caller, DrainCall(500, "n-2", True, NO_POSITION))
     harness.settle()
     page = read(head_metrics(harness.head))
     assert page["is_head",] == 1 and page["open_runs",] == 3 and page["uncommitted_entries",] == 0
