Core histories cancel jobs that are not known yet, and check that such a job stays out

The oracle refuses a committed hand-in of a job whose cancelling was answered 410, such an answer for a job that is known, and 410 to a hand-in that nobody cancelled. The last states of all members are compared as before.

--- a/millethead/lab/core_clients.py
+++ b/millethead/lab/core_clients.py
@@ -149,7 +149,7 @@
 
 
 class Submitter:
-    """Hands in jobs, asks for them and cancels some."""
+    """Hands in jobs, asks for them and cancels some, also such as are not known yet or may still be on their way."""
 
     def __init__(self, context: CallContext, number: int) -> None:
         self._context, self._number = context, number
@@ -168,14 +168,19 @@
         choice = self._context.random.random()
         if choice < 0.5 or not known:
             self._jobs += 1
-            self._submit(f"{self._number:08x}{self._jobs:08x}")
+            self._submit(self._name(self._jobs))
         elif choice < 0.6:
             self._submit(self._context.random.choice(known))
+        elif choice < 0.65:
+            self._cancel(self._name(self._jobs + self._context.random.choice((0, 1))))
         elif choice < 0.7:
             self._cancel(self._context.random.choice(known))
         else:
             self._read(self._context.random.choice(known))
 
+    def _name(self, job: int) -> str:
+        return f"{self._number:08x}{job:08x}"
+
     def _call(self, method: str, name: str, expect: Callable[[], Judge]) -> None:
         def answered(answer: CallAnswer | None) -> None:
             if answer is not None and answer.status == OK and method == "POST":
@@ -188,6 +193,7 @@
         self._call("POST", name, lambda: lambda answer: self._context.oracle.job_submitted(name, answer.status))
 
     def _cancel(self, name: str) -> None:
+        self._context.oracle.cancel_sent(name)
         self._call(
             "DELETE", name, lambda: lambda answer: self._context.oracle.job_cancelled(name, answer.status, answer.body)
         )
--- a/millethead/lab/core_mutants.py
+++ b/millethead/lab/core_mutants.py
@@ -12,9 +12,14 @@
 from weakref import WeakKeyDictionary
 
 from millethead.configuration.change import ConfigurationState, Decision, Method, Order, Verdict
+from millethead.control.call_handler import CallHandler, Reply
+from millethead.control.calls import CallAnswer, JobCall
 from millethead.control.commit import CommitGate, Committed
 from millethead.control.configuration_stream import ConfigurationStream, StoredConfiguration
+from millethead.jobs.commands import CancelJob
+from millethead.jobs.tombstones import Tombstones
 from millethead.lab import core_world
+from millethead.lab.core_oracle import GONE
 from millethead.lab.core_storage import CoreStorage
 from millethead.lab.disk import SimulatedDisk
 from millethead.replication import view_planning
@@ -309,6 +314,30 @@
         yield
 
 
+def cancel_not_kept() -> AbstractContextManager[object]:
+    """The cancel of an unknown job is answered like a read, and nothing is kept of it."""
+
+    def cancel(handler: CallHandler, call: JobCall, name: str, reply: Reply) -> None:
+        handler._reply_when_confirmed(reply, CallAnswer(call.number, GONE, b"{}", 0))
+
+    return mock.patch.object(CallHandler, "_cancel_unknown", cancel)
+
+
+def cancel_answered_before_commit() -> AbstractContextManager[object]:
+    """The cancel of an unknown job is answered once it is applied at the head."""
+
+    def cancel(handler: CallHandler, call: JobCall, name: str, reply: Reply) -> None:
+        handler._gate.propose(CancelJob(name, 0))
+        reply(Committed(CallAnswer(call.number, GONE, b"{}", 0), 0))
+
+    return mock.patch.object(CallHandler, "_cancel_unknown", cancel)
+
+
+def tombstones_not_in_snapshot() -> AbstractContextManager[object]:
+    """Snapshots leave the tombstones out."""
+    return mock.patch.object(Tombstones, "encode", lambda tombstones: b"")
+
+
 MUTANTS: dict[str, Mutant] = {
     "acknowledge_before_sync": acknowledge_before_sync,
     "too_few_disks": too_few_disks,
@@ -331,4 +360,7 @@
     "swap_with_old_majority": swap_with_old_majority,
     "lead_on_after_another_head": lead_on_after_another_head,
     "read_over_a_change_of_view": read_over_a_change_of_view,
+    "cancel_not_kept": cancel_not_kept,
+    "cancel_answered_before_commit": cancel_answered_before_commit,
+    "tombstones_not_in_snapshot": tombstones_not_in_snapshot,
 }
--- a/millethead/lab/core_oracle.py
+++ b/millethead/lab/core_oracle.py
@@ -45,6 +45,8 @@
         self.refused_orders: set[bytes] = set()
         self.acknowledged_jobs: set[str] = set()
         self.cancelled_jobs: set[str] = set()
+        self._refused_jobs: set[str] = set()  # their cancel was answered 410
+        self._cancel_sent: set[str] = set()
         self._bases: dict[int | None, bytes] = {}
         self._least_chain = least_chain
         self._known: dict[tuple[int, int], _Known] = {}
@@ -125,6 +127,8 @@
                 raise Violation("an order that was refused is in force")
         elif isinstance(command, SubmitJob) and command.job not in self.reference.jobs.jobs:
             raise Violation(f"job {command.job} is committed and not kept")
+        elif isinstance(command, SubmitJob) and command.job in self._refused_jobs:
+            raise Violation(f"job {command.job} is accepted, and its cancelling was answered 410")
 
     def view_adopted(self, process: CoreProcess, view: View) -> None:
         known = self.views.setdefault(view.epoch, view)
@@ -172,12 +176,22 @@
             if name not in self.reference.jobs.jobs:
                 raise Violation(f"job {name} is acknowledged and not committed")
             self.acknowledged_jobs.add(name)
+        elif status == GONE and name not in self._cancel_sent:
+            raise Violation(f"job {name} is refused as cancelled, and nobody cancelled it")
+
+    def cancel_sent(self, name: str) -> None:
+        """A client begins to cancel a job."""
+        self._cancel_sent.add(name)
 
     def job_cancelled(self, name: str, status: int, body: bytes) -> None:
         if status == OK and json.loads(body)["state"] == "cancelled":
             if self.reference.jobs.jobs[name].phase is not JobPhase.CANCELLED:
                 raise Violation(f"the cancelling of job {name} is acknowledged and not committed")
             self.cancelled_jobs.add(name)
+        elif status == GONE:
+            if name in self.reference.jobs.jobs:
+                raise Violation(f"the cancelling of job {name} is answered 410, and the job is known")
+            self._refused_jobs.add(name)
 
     def job_read(self, name: str, acknowledged: bool, cancelled: bool, status: int, body: bytes) -> None:
         """`acknowledged`, `cancelled`: what had been answered when the call was made."""
