A heartbeat of another instance has the agent ask the worker, and ends nothing itself

The tasks of the present instance were started elsewhere while they ran, and its own heartbeats were answered 200 and ignored from then on.

Cause: the agent took a heartbeat of any other id for the proof that the present instance had ended, unless it remembered that id as ended, which a new process does not. Two more places do the same: a new process reported the first instance of which it got a heartbeat, and the head ends the runs of all others of the node; and after 421 to such an instance the process took the one that the head listed next for ended.

Change: such a heartbeat is a claim. The agent polls the present instance at once; 421 or a closed port ends it and the claimant takes its place, an answer to a call that was sent after the claim shows the claimant to be an earlier instance, and without an answer nothing is decided. A new process reports an instance only once it has answered. The questions which calls are missed and when a worker is suspected move out of agent.py, unchanged.

--- a/millethead/execution/agent.py
+++ b/millethead/execution/agent.py
@@ -21,7 +21,7 @@
 
 from millethead.execution.actions import Action, CloseSession, SendRecord
 from millethead.execution.call_planner import AgentLimits, CallPlanner
-from millethead.execution.calls import CallAnswer, CallStatus, PollCall, Rejection, StopCall, WorkerCall
+from millethead.execution.calls import CallAnswer, CallStatus, PollCall, Rejection, StopCall, WorkerCall, is_missed
 from millethead.execution.desired_runs import apply_desired
 from millethead.execution.lease import HeadSession
 from millethead.execution.messages import (
@@ -43,10 +43,9 @@
 from millethead.execution.run_lists import record_inferred_end
 from millethead.execution.runs import RunState
 from millethead.execution.worker_clock import MS, SLOWEST_RATE
-from millethead.execution.worker_instance import AbandonedRun, WorkerInstance
+from millethead.execution.worker_instance import AbandonedRun, InstanceClaim, WorkerInstance
 from millethead.rpc.codec import Record
 
-SUSPICION_DELAY_S = 0.7  # counted from the first of the unanswered calls
 SUSPICION_INTERVAL_S = 0.5
 LEAVE_GRACE_PERIOD_S = 0.2  # time from a worker's DELETE to its assumed end, if no run may be left on it
 MAX_ENDED_INSTANCES = 64  # number of ended instances that are remembered
@@ -65,7 +64,8 @@
         self._session = HeadSession()
         self._reports = PendingReports()
         self._worker: WorkerInstance | None = None
-        self._worker_known = False  # whether "no worker" may be reported to the head
+        self._worker_known = False  # whether an instance was confirmed, so that "no worker" may be reported to the head
+        self._claim: InstanceClaim | None = None
         self._ended_instances: deque[str] = deque(maxlen=MAX_ENDED_INSTANCES)
         self._deferred_lists: deque[DesiredRuns] = deque(maxlen=MAX_DEFERRED_LISTS)
         self._actions: list[Action] = []
@@ -101,13 +101,16 @@
     # ---- worker events -----------------------------------------------------------------------------------
 
     def heartbeat_received(self, info: WorkerInfo, clock_ms: float | None, now: float) -> list[Action]:
-        """Process a heartbeat. An outdated one (old sequence number or ended instance) is ignored."""
+        """Process a heartbeat. An outdated one (old sequence number or ended instance) is ignored.
+
+        A heartbeat of another instance may be a delayed one. The worker is asked which instance it is.
+        """
         if info.instance in self._ended_instances:
             return self._advance(now)
         worker = self._worker
         if worker is not None and worker.instance != info.instance:
-            self._end_instance(worker, now)
-            worker = None
+            self._claim, worker.disputed_at = InstanceClaim(info, clock_ms), now
+            return self._advance(now)
         if worker is None:
             worker = self._begin_instance(info.instance, self._worker_known, now)
         if worker.info is None or info.sequence > worker.info.sequence:
@@ -195,12 +198,30 @@
         return worker
 
     def _end_instance(self, worker: WorkerInstance, now: float) -> None:
-        """Record that the instance has certainly ended, and all its runs with it."""
+        """Record that the instance has certainly ended, and all its runs with it.
+
+        If another instance has claimed its place, that one is the current instance from now on.
+        """
         self._flush_report(worker)
         self._ended_instances.append(worker.instance)
         self._worker = None
-        self._worker_known = True
+        self._worker_known = self._worker_known or worker.is_confirmed
         self._send(LifeOver(worker.instance))
+        claim, self._claim = self._claim, None
+        if claim is None:
+            self._send_worker_update()
+        else:
+            claimant = self._begin_instance(claim.info.instance, self._worker_known, now)
+            self._apply_heartbeat(claimant, claim.info, claim.clock_ms, now)
+
+    def _settle_claim(self, worker: WorkerInstance, sent_at: float) -> None:
+        """Drop the claim of another instance if the current one has answered a call that was sent after it."""
+        worker.answered_call_sent_at = max(worker.answered_call_sent_at, sent_at)
+        claim = self._claim
+        if claim is not None and not worker.is_disputed:
+            self._claim = None
+            self._ended_instances.append(claim.info.instance)
+            self._send(LifeOver(claim.info.instance))
 
     def _apply_heartbeat(self, worker: WorkerInstance, info: WorkerInfo, clock_ms: float | None, now: float) -> None:
         if worker.leave_deadline < math.inf:
@@ -212,14 +233,17 @@
             worker.clock.add_reading(clock_ms, None, now)
         if not worker.runs.any_at_worker():
             worker.record_answer(now)
-        self._worker_known = True
+        self._worker_known = self._worker_known or worker.is_confirmed
         if previous is None or _without_countdowns(previous) != _without_countdowns(info):
             self._send_worker_update()
 
     def _send_worker_update(self) -> None:
-        """Send the current state of the worker to the head, unless this process does not know it yet."""
+        """Send the current state of the worker to the head, unless this process does not know it yet.
+
+        The head takes all other instances of the node for ended, so an unconfirmed one is not reported.
+        """
         worker = self._worker
-        if worker is not None and worker.info is not None:
+        if worker is not None and worker.info is not None and worker.is_confirmed:
             self._send(WorkerUpdate(worker.info))
         elif self._worker_known and worker is None:
             self._send(WorkerUpdate(None))
@@ -263,15 +287,14 @@
     def _apply_answer(self, worker: WorkerInstance, call: WorkerCall, answer: CallAnswer, now: float) -> None:
         if answer.status is CallStatus.WRONG_INSTANCE:
             self._end_instance(worker, now)
-            self._send_worker_update()
-            if self._deferred_lists:
+            if self._worker is None and self._deferred_lists:
                 self._begin_instance(self._deferred_lists[0].instance, False, now)
             return
         if answer.no_listener and worker.record_refusal(now):
+            self._worker_known = True  # none is there now
             self._end_instance(worker, now)
-            self._send_worker_update()
             return
-        if _is_missed(call, answer):
+        if is_missed(call, answer):
             if isinstance(call, PollCall):
                 worker.record_missed_poll(min(now, answer.sent_at + call.wait_ms / MS), now)
             else:
@@ -287,7 +310,11 @@
 
     def _apply_received_answer(self, worker: WorkerInstance, call: WorkerCall, answer: CallAnswer, now: float) -> None:
         worker.record_answer(now)
-        worker.has_answered = True
+        newly_confirmed = not worker.is_confirmed
+        worker.has_answered = self._worker_known = True
+        if newly_confirmed:
+            self._send_worker_update()
+        self._settle_claim(worker, answer.sent_at)
         if answer.clock_ms is not None:
             worker.clock.add_reading(answer.clock_ms, answer.sent_at, answer.ended_at)
         if answer.rejection is Rejection.FENCE and call.fence == self.epoch:  # otherwise a newer call overtook this one
@@ -312,8 +339,7 @@
         worker = self._worker
         if worker is not None and self._timer.is_due(worker.leave_deadline, now) and not worker.runs.any_at_worker():
             self._end_instance(worker, now)
-            self._send_worker_update()
-            worker = None
+            worker = self._worker
         if worker is not None:
             self._update_worker(worker, now)
         actions, self._actions = self._actions, []
@@ -363,14 +389,9 @@
 
     def _report_suspicion(self, worker: WorkerInstance, now: float) -> None:
         """Report a worker to the head that leaves calls unanswered or whose heartbeats are missing."""
-        unresponsive_at = math.inf
-        if (
-            worker.calls_missed_since is not None
-            and worker.is_unresponsive
-            and (worker.runs.any_at_worker() or self._calls.in_flight_count)
-        ):
-            unresponsive_at = worker.calls_missed_since + SUSPICION_DELAY_S
-        suspect_at = min(unresponsive_at, worker.silence_deadline(self._limits.heartbeat_s))
+        suspect_at = worker.silence_deadline(self._limits.heartbeat_s)
+        if worker.runs.any_at_worker() or self._calls.in_flight_count:
+            suspect_at = min(suspect_at, worker.unresponsive_at)
         if not self._timer.is_due(max(suspect_at, worker.suspicion_sent_at + SUSPICION_INTERVAL_S), now):
             return
         worker.suspicion_sent_at = now
@@ -391,13 +412,6 @@
             self._send(self._reports.add(report))
 
 
-def _is_missed(call: WorkerCall, answer: CallAnswer) -> bool:
-    """Return whether the call counts as unanswered. A poll that the worker refused without doing anything does too."""
-    if isinstance(call, PollCall) and answer.status in (CallStatus.UNHEALTHY, CallStatus.INVALID):
-        return True
-    return answer.status in (CallStatus.UNCLEAR, CallStatus.NOT_SENT)
-
-
 def _without_countdowns(info: WorkerInfo) -> WorkerInfo:
     """Return the worker info without the fields that change in every heartbeat."""
     return replace(info, sequence=0, cold_left_ms=0, remaining_ms=-1 if info.remaining_ms < 0 else 0)
--- a/millethead/execution/call_planner.py
+++ b/millethead/execution/call_planner.py
@@ -180,8 +180,10 @@
     # ---- polls -------------------------------------------------------------------------------------------
 
     def poll_if_due(self, worker: WorkerInstance, now: float) -> None:
-        poll_needed = worker.runs.any_at_worker() or (
-            not worker.runs_listed and now < worker.silence_deadline(self._limits.heartbeat_s)
+        poll_needed = (
+            worker.runs.any_at_worker()
+            or worker.is_disputed
+            or (not worker.runs_listed and now < worker.silence_deadline(self._limits.heartbeat_s))
         )
         if not poll_needed or worker.poll_call is not None or not self._may_send_orders():
             return
@@ -215,8 +217,13 @@
         return worker.next_poll_at
 
     def _list_needed(self, worker: WorkerInstance) -> bool:
-        """Return whether a list is needed at once: to learn which runs exist, or whether a stopped run ever existed."""
-        return not worker.runs_listed or any(
+        """Return whether a list is needed at once.
+
+        It shows which runs exist, whether a stopped run ever existed, and whether the instance still does.
+        """
+        if not worker.runs_listed or worker.is_disputed:
+            return True
+        return any(
             run.state is RunState.CLOSED
             and run.first_seen_at is None
             and run.state_since > worker.last_list_requested_at
--- a/millethead/execution/calls.py
+++ b/millethead/execution/calls.py
@@ -214,3 +214,10 @@
     if not isinstance(task, str) or not isinstance(run, int):
         raise MalformedAnswer("the task is not a string or the run is not an integer")
     return RunKey(task, run)
+
+
+def is_missed(call: WorkerCall, answer: CallAnswer) -> bool:
+    """Return whether the call counts as unanswered. A poll that the worker refused without doing anything does too."""
+    if isinstance(call, PollCall) and answer.status in (CallStatus.UNHEALTHY, CallStatus.INVALID):
+        return True
+    return answer.status in (CallStatus.UNCLEAR, CallStatus.NOT_SENT)
--- a/millethead/execution/worker_instance.py
+++ b/millethead/execution/worker_instance.py
@@ -17,6 +17,7 @@
 POLL_ANSWER_TIMEOUT_S = 0.7  # timeout of a poll in addition to its wait
 SHORT_POLL_ANSWER_TIMEOUT_S = 0.35  # the same for the first polls in a row, of which one may be lost
 MISSED_POLLS_FOR_LONG_TIMEOUT = 2  # after this many missed polls in a row, POLL_ANSWER_TIMEOUT_S applies
+SUSPICION_DELAY_S = 0.7  # counted from the first of the unanswered calls
 MIN_MISSED_CALLS = 2  # consecutive missed calls that make a worker unresponsive; single calls get lost
 LOSS_RECOVERY_S = 10.0  # after a missed poll, polls wait for at most MAX_POLL_WAIT_AFTER_LOSS_S during this time
 MAX_POLL_WAIT_AFTER_LOSS_S = 0.25
@@ -39,6 +40,14 @@
     call_in_flight: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceClaim:
+    """A heartbeat of another instance than the current one: of a newer one, or a late one of an earlier one."""
+
+    info: WorkerInfo
+    clock_ms: float | None
+
+
 @dataclass(slots=True)
 class WorkerInstance:
     """State of one worker instance.
@@ -50,6 +59,8 @@
     - `inherited_expiry`: time by which all deadlines granted by a previous agent process have passed.
     - `info`: the newest heartbeat; None before the first one.
     - `has_answered`: a call to it was answered.
+    - `disputed_at`: when the newest heartbeat of another instance arrived.
+    - `answered_call_sent_at`: when the newest answered call was sent.
     - `runs_listed`: the runs that exist on it are known.
     - `desired_received`: this process has received a complete list of desired runs.
     - `desired_current`: the complete list was received in the current session.
@@ -75,6 +86,8 @@
     report_draft: ReportDraft = field(default_factory=ReportDraft)
     abandoned_runs: dict[RunKey, AbandonedRun] = field(default_factory=dict)
     has_answered: bool = False
+    disputed_at: float = -math.inf
+    answered_call_sent_at: float = -math.inf
     runs_listed: bool = False
     desired_received: bool = False
     desired_current: bool = False
@@ -106,6 +119,16 @@
         """Whether it is still slow after its start, according to its newest heartbeat."""
         return self.info is not None and self.info.cold_left_ms > 0
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether it certainly ran after every instance that earlier agent processes knew."""
+        return self.has_answered or self.observed_from_start
+
+    @property
+    def is_disputed(self) -> bool:
+        """Whether another instance may be in its place: that one sent a heartbeat, and no later call was answered."""
+        return self.disputed_at > self.answered_call_sent_at
+
     # ---- deadlines ---------------------------------------------------------------------------------------
 
     def renewal_deadline(self, lease_end: float, hold_max_ms: float, now: float) -> int | None:
@@ -177,6 +200,13 @@
         """Whether so many consecutive calls were missed that no new run should be started on it."""
         return self.missed_calls >= MIN_MISSED_CALLS
 
+    @property
+    def unresponsive_at(self) -> float:
+        """Time at which it is suspected because it leaves calls unanswered; +inf if it does not."""
+        if self.calls_missed_since is None or not self.is_unresponsive:
+            return math.inf
+        return self.calls_missed_since + SUSPICION_DELAY_S
+
     def record_missed_call(self, due_at: float) -> None:
         """Record that a call was not answered; `due_at` is the time from which on an answer was expected."""
         if self.calls_missed_since is None:
--- a/millethead/lab/system_facts.py
+++ b/millethead/lab/system_facts.py
@@ -52,7 +52,7 @@
 
 
 HARMLESS = frozenset(
-    ("configuration", "hopeless", "new worker", "drain", "worker", "grey", "late", "burst", "dispatcher")
+    ("configuration", "hopeless", "new worker", "drain", "worker", "grey", "late", "burst", "dispatcher", "held back")
 )
 
 
--- a/millethead/lab/system_troubles.py
+++ b/millethead/lab/system_troubles.py
@@ -11,7 +11,7 @@
 from millethead.lab.system_clients import Clients, Dispatcher
 from millethead.lab.system_core import Core, HeadChange
 from millethead.lab.system_facts import TroubleLog
-from millethead.lab.system_side import CallTrouble, SideMachine
+from millethead.lab.system_side import HELD_BACK_S, CallTrouble, SideMachine
 from millethead.lab.system_worker import Condition
 
 MOST_STILL_S = 2.0  # of the chain before a change of the head
@@ -268,6 +268,20 @@
 
         self._world.timeline.after(lasts, end)
 
+    def hold_back_heartbeats(self) -> None:
+        """Heartbeats and deregistrations of a worker arrive late, some after it or its agent was restarted."""
+        side = self._side()
+        if side is None:
+            return
+        lasts = self._length() + HELD_BACK_S
+        self._note("held back", side.node, lasts, "heartbeats held back")
+        side.held_back = self._random.choice((0.3, 0.6))
+
+        def end() -> None:
+            side.held_back = 0.0
+
+        self._world.timeline.after(lasts, end)
+
     def grey_worker(self) -> None:
         """A worker beats well and fails, hangs or slows down what it starts, or turns orders down."""
         side = self._side()
@@ -350,6 +364,7 @@
     "leave": Troubles.leave_first,
     "add": Troubles.add_worker,
     "calls": Troubles.trouble_calls,
+    "heartbeats": Troubles.hold_back_heartbeats,
     "grey": Troubles.grey_worker,
     "clients": Troubles.lose_answers,
     "dispatcher": Troubles.freeze_dispatcher,
--- a/millethead/lab/system_world.py
+++ b/millethead/lab/system_world.py
@@ -328,7 +328,7 @@
             if side.removed:
                 continue
             side.trouble = type(side.trouble)()
-            side.silent = False
+            side.silent, side.held_back = False, 0.0
             side.worker.healthy = True
             side.worker.set_condition(Condition.SOUND, self.timeline.now)
             if side.frozen:
--- a/tests/test_system_world.py
+++ b/tests/test_system_world.py
@@ -265,11 +265,30 @@
     patch.setattr(CallerFence, "admits", lambda fence, caller, session: True)
 
 
+def other_heartbeat_ends_instance(patch: Patch) -> None:
+    """The heartbeat of any other instance is taken for the proof that the current one has ended."""
+
+    def heartbeat(agent: Agent, info: WorkerInfo, clock_ms: float | None, now: float) -> list[Action]:
+        worker = agent.worker
+        if worker is not None and info.instance not in (worker.instance, *agent._ended_instances):
+            agent._end_instance(worker, now)
+        return real(agent, info, clock_ms, now)
+
+    real = Agent.heartbeat_received
+    patch.setattr(Agent, "heartbeat_received", heartbeat)
+
+
+def unconfirmed_instance_reported(patch: Patch) -> None:
+    """An agent's process reports the first instance of which it gets a heartbeat, without asking the worker."""
+    patch.setattr(WorkerInstance, "is_confirmed", property(lambda worker: True))
+
+
 def leases_in_stale_sessions(patch: Patch) -> None:
     """A session outlives the end of its lease."""
     patch.setattr(AgentRegistry, "end_session", lambda agents, node: None)
 
 
+RESTARTS: dict[str, Any] = {"gap_s": 0.2, "lengths_s": (0.3, 0.6, 1.5), "work_x": 2.0}  # of workers and agents
 LONG = (14.0, 20.0)  # troubles that last longer than a lease
 
 
@@ -308,6 +327,8 @@
     mutant(dependencies_ignored, "ORDER", ""),
     mutant(cancel_stops_nothing, "UNASKED", "cancel"),
     mutant(unknown_cancel_not_kept, "UNASKED", "dispatcher"),
+    mutant(other_heartbeat_ends_instance, "TWICE ROUTE LOST LIMIT", "heartbeats agent crash", **RESTARTS),
+    mutant(unconfirmed_instance_reported, "TWICE ROUTE LOST LIMIT", "heartbeats agent crash", **RESTARTS),
     mutant(replaced_connections_heard, "REFUSED", "caller configuration clients", gap_s=0.5, job_gap_s=0.2),
     mutant(leases_in_stale_sessions, "TWICE LOST", "freeze cut", lengths_s=LONG),
 ]
