Retention decides its own times; the head proposes what is due

The head kept two timers and two calls of the retention of jobs; they are one object now, without a change of behaviour. tests/test_head.py, test_tombstones.py, test_large_state.py, test_leading_on.py, test_takeover.py pass.

--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -43,13 +43,7 @@
 from millethead.control.configuration_stream import CallerSession, ConfigurationStream, StoredConfiguration
 from millethead.control.drains import OK, DrainReason, builds_on_newest_order, drain_answer, runs_to_evacuate
 from millethead.control.inspect import inspect
-from millethead.control.retention import (
-    PURGE_INTERVAL_S,
-    TRIM_INTERVAL_S,
-    purge_command,
-    purge_interval_s,
-    trim_command,
-)
+from millethead.control.retention import Retention
 from millethead.control.scheduler_sync import Moment, SchedulerSync
 from millethead.control.scheduling_loop import HeadClock, SchedulingLoop, read_clocks
 from millethead.control.state import ControlState
@@ -102,7 +96,7 @@
         far_times: float = REMOTE_RUNTIME_FACTOR,
         max_job_bytes: int = MAX_JOB_BYTES,
     ) -> None:
-        self.view, self.state, self.clock, self._job_retention_s = view, state, clock, job_retention_s
+        self.view, self.state, self.clock = view, state, clock
         self._first_epoch = view.epoch  # this head leads in all epochs from here to that of `view`
         self._chain = chain
         self.gate = CommitGate(chain, clock.soon)
@@ -120,8 +114,7 @@
         self._call_handler = CallHandler(state, self.gate, callbacks, clock.wall_ms, max_job_bytes)
         self._caller_fence, self._caller_sessions = CallerFence(), 0
         self._next_check = clock.now() + CHECK_INTERVAL_S
-        self._next_purge = clock.now() + PURGE_INTERVAL_S
-        self._next_trim = clock.now() + TRIM_INTERVAL_S
+        self._retention = Retention(state.jobs, job_retention_s, clock.now())
         self._set_queues(self.configuration_stream.current)
         self.scheduler_sync.rebuild(self._now())
         self.scheduling.request_pass()
@@ -429,19 +422,10 @@
             for preemption in self.scheduler.stalled(moment.now):
                 self.scheduling.preempt(preemption)
             self.scheduling.request_pass()
-        if moment.now >= self._next_purge:
-            purge = purge_command(self.state.jobs, moment.wall_ms, self._job_retention_s)
-            self._next_purge = moment.now + purge_interval_s(purge)
-            self._propose_if_any(purge)
-        if moment.now >= self._next_trim:
-            self._next_trim = moment.now + TRIM_INTERVAL_S
-            self._propose_if_any(trim_command(self.state.jobs.jobs.values()))
-        next_periodic = min(self._next_check, self._next_purge, self._next_trim, self._agent_monitor.next_check)
-        return min(self.scheduler_sync.next_due(moment), next_periodic, self.scheduling.next_pass)
-
-    def _propose_if_any(self, command: Record | None) -> None:
-        if command is not None:
+        for command in self._retention.take_due(moment.now, moment.wall_ms):
             self.gate.propose(command)
+        next_periodic = min(self._next_check, self._retention.next_due, self._agent_monitor.next_check)
+        return min(self.scheduler_sync.next_due(moment), next_periodic, self.scheduling.next_pass)
 
 
 def step_key(run: TaskRun) -> StepKey:
--- a/millethead/control/retention.py
+++ b/millethead/control/retention.py
@@ -36,5 +36,31 @@
     return FULL_PURGE_INTERVAL_S if is_full else PURGE_INTERVAL_S
 
 
+class Retention:
+    """Decides when ended jobs and tombstones are purged, and when jobs are trimmed."""
+
+    def __init__(self, table: JobTable, job_retention_s: float, now: float) -> None:
+        self._table, self._job_retention_s = table, job_retention_s
+        self._next_purge = now + PURGE_INTERVAL_S
+        self._next_trim = now + TRIM_INTERVAL_S
+
+    @property
+    def next_due(self) -> float:
+        """Return the monotonic time of the next purge or trim."""
+        return min(self._next_purge, self._next_trim)
+
+    def take_due(self, now: float, wall_ms: int) -> list[PurgeJobs | TrimJobs]:
+        """Return the commands that are due."""
+        found: list[PurgeJobs | TrimJobs | None] = []
+        if now >= self._next_purge:
+            purge = purge_command(self._table, wall_ms, self._job_retention_s)
+            self._next_purge = now + purge_interval_s(purge)
+            found.append(purge)
+        if now >= self._next_trim:
+            self._next_trim = now + TRIM_INTERVAL_S
+            found.append(trim_command(self._table.jobs.values()))
+        return [command for command in found if command is not None]
+
+
 def _has_ended(job: Job) -> bool:
     return job.phase.is_final and not job.open_runs
