A report of a worker ends every other instance at its node, also one without runs

Cause: the head forgot the instance of the same session and those with open runs; an instance without runs that an earlier process of the agent had reported was neither.

Change: with a report, every other instance known at the node is ended.

Red before: FAILED test_idle_instance_is_forgotten_when_a_new_process_of_its_agent_reports_another (['i-1', 'i-2'] == ['i-2']).

--- a/millethead/control/agents.py
+++ b/millethead/control/agents.py
@@ -111,6 +111,12 @@
         )
         return self._store_worker(state)
 
+    def instances_of(self, node: str) -> list[str]:
+        """Return the instances that are known as the worker of a node, or that have open runs there."""
+        known = {worker.instance for worker in self.workers.values() if worker.node == node}
+        running = {task.instance for _, task in self._jobs.open_runs() if task.node == node}
+        return sorted(known | running)
+
     def _is_reachable(self, session: AgentSession, instance: str) -> bool:
         """Return whether tasks may be assigned to a worker."""
         responsive = not self.failure_detector.is_unresponsive(session.node)
--- a/millethead/control/head.py
+++ b/millethead/control/head.py
@@ -302,15 +302,9 @@
             if session.instance:
                 self._forget_worker(session.instance)
             return
-        if session.instance and session.instance != info.instance:
-            self._forget_worker(session.instance)
-        others = {
-            task.instance
-            for _, task in self.state.jobs.open_runs()
-            if task.node == session.node and task.instance != info.instance
-        }
-        for instance in sorted(others):  # a node has one worker, so any other instance has ended
-            self._instance_ended(instance)
+        for instance in self.agents.instances_of(session.node):
+            if instance != info.instance:  # a node has one worker, so any other instance has ended
+                self._instance_ended(instance)
         is_new = session.instance != info.instance
         state = self.agents.update_worker(session, info)
         self.scheduler.put_worker(state)
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -1062,6 +1062,18 @@
     assert agent.orders() == [f"{task()}#2"]
 
 
+def test_idle_instance_is_forgotten_when_a_new_process_of_its_agent_reports_another() -> None:
+    """Guards against tasks for a worker that was replaced while its agent was restarted."""
+    harness = HeadHarness()
+    first = harness.agent(info=worker())
+    harness.head.agent_disconnected(first.session)
+    agent = harness.agent(info=worker("i-2"))
+    assert list(harness.head.agents.workers) == ["i-2"]
+    harness.ask("POST", NAME, job({"count": 3}))
+    harness.settle()
+    assert len(agent.orders()) == 3
+
+
 def test_worker_that_left_gets_no_runs() -> None:
     harness = HeadHarness()
     agent = harness.agent()
