--- a/benchmarks/execution/histories.py
+++ b/benchmarks/execution/histories.py
@@ -50,7 +50,7 @@
         "events": history.events,
         "epochs": history.epochs,
         "entries": history.entries,
-        "troubles": len(history.told),
+        "troubles": len(history.disruptions),
         "jobs": history.jobs,
         "accepted": history.accepted,
         "jobs_done": history.done,
--- a/millethead/lab/system_clients.py
+++ b/millethead/lab/system_clients.py
@@ -1,7 +1,7 @@
-"""Clients, dispatchers and the operator of the emulated system.
+"""Clients, dispatchers and the operator of the simulated system.
 
-Clients hand jobs in, send the same ID again elsewhere, ask for states, cancel and give up, as the protocol page says.
-A dispatcher passes calls on to the head that it knows, and again to the next one.
+Clients submit jobs, retry with the same ID at other dispatchers, poll states, cancel and give up, as the protocol page
+says. A dispatcher forwards calls to the head that it knows, and resends them to the next head.
 """
 
 from __future__ import annotations
@@ -30,11 +30,15 @@
 from millethead.lab.system_wire import Wire
 from millethead.rpc.codec import Record, encode_any
 
-REACH_S, ANSWER_S, OPERATOR_ANSWER_S = 1.3, 2.4, 1.0  # as the dispatcher's program and the operator have them
+CONNECT_TIMEOUT_S, ANSWER_TIMEOUT_S, OPERATOR_ANSWER_TIMEOUT_S = (
+    1.3,
+    2.4,
+    1.0,
+)  # as the dispatcher's program and the operator have them
 CLIENT_DELAY_S = (0.003, 0.006)
 DEADLINE_S = 3.0
 LEAVES_AFTER_S = (0.1, 1.0)  # of a client that does not wait until its deadline
-MOST_TRIES = 5  # of handing a job in
+MAX_ATTEMPTS = 5  # to submit a job
 HOST = "jobs.example"
 OK, REJECTIONS, UNKNOWN, NOT_FOUND, UNSURE, NOT_TAKEN = 200, (400, 404, 410, 413, 429, 503), 410, 404, 504, 503
 
@@ -50,8 +54,8 @@
 
 
 class Dispatcher:
-    """A program that calls the head for others, and follows the configuration. `find` connects it with whoever it
-    takes for the head; `told` is called with each configuration that comes. While it is `frozen`, requests, records and
+    """A program that calls the head for clients and follows the configuration. `find` connects it to the member that it
+    takes for the head; `on_configuration` is called with each update. While it is `frozen`, requests, records and
     timers wait; they are handled in their order once it is thawed."""
 
     def __init__(
@@ -60,15 +64,15 @@
         timeline: Timeline,
         random: Random,
         find: Callable[[], Wire | None],
-        told: Callable[[ConfigurationUpdate], None],
+        on_configuration: Callable[[ConfigurationUpdate], None],
     ) -> None:
-        self.name, self._told = name, told
+        self.name, self._on_configuration = name, on_configuration
         self._timeline, self._random, self._find = timeline, random, find
         self._calls: dict[int, _Call] = {}
         self._number = new_call_numbers(random)
         self._wire: Wire | None = None
         self._serving = False
-        self.held = ActiveConfiguration()
+        self.active_configuration = ActiveConfiguration()
         self._epoch = 0
         self.frozen = False
         self._deferred: list[Callable[[], None]] = []
@@ -77,11 +81,11 @@
     # ---- freezes -----------------------------------------------------------------------------------------
 
     def freeze(self) -> None:
-        """The process stands still."""
+        """Suspend the process."""
         self.frozen = True
 
     def thaw(self) -> None:
-        """The process goes on with what has come meanwhile."""
+        """Resume the process, which first handles what has arrived in the meantime."""
         self.frozen = False
         deferred, self._deferred = self._deferred, []
         for action in deferred:
@@ -98,24 +102,28 @@
 
     # ---- calls -------------------------------------------------------------------------------------------
 
-    def call(self, make: Callable[[int], Record], reach_s: float, answer_s: float, done: Done) -> None:
+    def call(
+        self, make: Callable[[int], Record], connect_timeout_s: float, answer_timeout_s: float, done: Done
+    ) -> None:
         """Make a call: `done` gets status and body, 503 where it was never sent, 504 where its outcome is open."""
-        self._when_awake(lambda: self._call(make, reach_s, answer_s, done))
+        self._when_awake(lambda: self._call(make, connect_timeout_s, answer_timeout_s, done))
 
-    def _call(self, make: Callable[[int], Record], reach_s: float, answer_s: float, done: Done) -> None:
+    def _call(
+        self, make: Callable[[int], Record], connect_timeout_s: float, answer_timeout_s: float, done: Done
+    ) -> None:
         self._number += 1
         number = self._number
         call = self._calls[number] = _Call(make, done)
         self._send(number, call)
-        self._after(reach_s, lambda: self._give_up(number, unsent_only=True))
-        self._after(answer_s, lambda: self._give_up(number, unsent_only=False))
+        self._after(connect_timeout_s, lambda: self._time_out(number, unsent_only=True))
+        self._after(answer_timeout_s, lambda: self._time_out(number, unsent_only=False))
 
     def _send(self, number: int, call: _Call) -> None:
         if self._serving and self._wire is not None:
             call.sent, call.epoch = True, self._epoch
             self._wire.near.send(HeadCall(call.epoch, encode_any(call.make(number))))
 
-    def _give_up(self, number: int, unsent_only: bool) -> None:
+    def _time_out(self, number: int, unsent_only: bool) -> None:
         call = self._calls.get(number)
         if call is not None and not (unsent_only and call.sent):
             del self._calls[number]
@@ -133,7 +141,9 @@
         self._wire, self._serving = wire, False
         wire.near.received = lambda record: self._when_awake(lambda: self._received(wire, record))
         wire.near.closed = lambda: self._when_awake(lambda: self._lost(wire))
-        wire.near.send(CallerHello(self.name, 0, self.held.version, self.held.place, True))
+        wire.near.send(
+            CallerHello(self.name, 0, self.active_configuration.version, self.active_configuration.place, True)
+        )
 
     def _lost(self, wire: Wire) -> None:
         if wire is self._wire:
@@ -141,7 +151,7 @@
             self._after(self._random.uniform(0.02, 0.3), self._connect)
 
     def head_changed(self) -> None:
-        """Another member has told of a newer view."""
+        """Handle the announcement of a newer view by another member."""
         self._when_awake(self._leave_head)
 
     def _leave_head(self) -> None:
@@ -184,16 +194,16 @@
             case HeadAnswer(epoch=epoch, answer=answer):
                 self._answered(epoch, answer)
             case ConfigurationUpdate():
-                self._told(record)
-                self.held.accept(record, self._epoch)
-                wire.near.send(self.held.ack())
+                self._on_configuration(record)
+                self.active_configuration.accept(record, self._epoch)
+                wire.near.send(self.active_configuration.ack())
 
 
 class ClientEvents(Protocol):
-    """What clients tell the oracle."""
+    """Events that the clients report to the oracle."""
 
     def tried(self, job: JobPlan) -> None:
-        """A job is being handed in."""
+        """An attempt to submit a job begins."""
         ...
 
     def try_ended(self, job: JobPlan, rejected: bool) -> None: ...
@@ -212,9 +222,11 @@
 
 
 class Clients:
-    """All clients. `prefix` tells the path of a queue. `loss` is the share of answers that do not come, `impatient` the
-    share of clients that give up after the first try, and `leaving` the share of those that hand a job in, leave before
-    their deadline and cancel it."""
+    """All clients. `prefix` returns the path of a queue.
+
+    `answer_loss` is the share of answers that are lost, `without_retry` that of the clients that give up after their
+    first attempt, and `cancelling_early` that of those that submit a job, leave before their deadline and cancel it.
+    """
 
     def __init__(
         self,
@@ -226,11 +238,11 @@
     ) -> None:
         self._timeline, self._random, self._events = timeline, random, events
         self._dispatchers, self._prefix = dispatchers, prefix
-        self.loss = 0.0
-        self.asking_until = float("inf")
-        self.impatient = self.leaving = 0.0
+        self.answer_loss = 0.0
+        self.polling_until = float("inf")
+        self.without_retry = self.cancelling_early = 0.0
 
-    def _ask(
+    def _request(
         self,
         method: str,
         job: JobPlan,
@@ -249,29 +261,30 @@
                 done(status, answer)
 
         def answered(status: int, answer: bytes) -> None:
-            if self._random.random() >= self.loss:
+            if self._random.random() >= self.answer_loss:
                 self._timeline.after(self._random.uniform(*CLIENT_DELAY_S), lambda: end(status, answer))
 
         def make(number: int) -> Record:
             return JobCall(number, method, HOST, path, body)
 
         self._timeline.after(
-            self._random.uniform(*CLIENT_DELAY_S), lambda: dispatcher.call(make, REACH_S, ANSWER_S, answered)
+            self._random.uniform(*CLIENT_DELAY_S),
+            lambda: dispatcher.call(make, CONNECT_TIMEOUT_S, ANSWER_TIMEOUT_S, answered),
         )
         self._timeline.after(leaves_after_s, lambda: end(None, b""))
 
     # ---- handing in --------------------------------------------------------------------------------------
 
     def submit(self, job: JobPlan) -> None:
-        """Hand a job in, again elsewhere where that fails."""
-        if self._random.random() < self.leaving:
+        """Submit a job, with retries at other dispatchers."""
+        if self._random.random() < self.cancelling_early:
             self._submit_and_leave(job)
             return
-        tries = 1 if self._random.random() < self.impatient else MOST_TRIES
+        tries = 1 if self._random.random() < self.without_retry else MAX_ATTEMPTS
         self._try(job, tries)
 
     def _submit_and_leave(self, job: JobPlan) -> None:
-        """Hand a job in once, and cancel it if there is no answer soon."""
+        """Submit a job once, and cancel it if there is no answer soon."""
 
         def done(status: int | None, _: bytes) -> None:
             if status is None:
@@ -280,39 +293,39 @@
                 self._tried(job, 0, status)
 
         self._events.tried(job)
-        self._ask("POST", job, job.body(), done, self._random.uniform(*LEAVES_AFTER_S))
+        self._request("POST", job, job.body(), done, self._random.uniform(*LEAVES_AFTER_S))
 
     def _try(self, job: JobPlan, left: int) -> None:
         self._events.tried(job)
         if self._random.random() < 0.05:  # a copy of the request under way at the same time
             self._events.tried(job)
-            self._ask("POST", job, job.body(), lambda status, _: self._events.try_ended(job, status in REJECTIONS))
-        self._ask("POST", job, job.body(), lambda status, _: self._tried(job, left - 1, status))
+            self._request("POST", job, job.body(), lambda status, _: self._events.try_ended(job, status in REJECTIONS))
+        self._request("POST", job, job.body(), lambda status, _: self._tried(job, left - 1, status))
 
     def _tried(self, job: JobPlan, left: int, status: int | None) -> None:
         self._events.try_ended(job, status in REJECTIONS)
         if status == OK:
             self._events.accepted(job)
-            self._later(lambda: self.look(job))
+            self._later(lambda: self.poll_state(job))
         elif left and status not in (400, UNKNOWN, 413):
             self._timeline.after(self._random.uniform(0.05, 1.0), lambda: self._try(job, left))
 
     # ---- asking ------------------------------------------------------------------------------------------
 
-    def look(self, job: JobPlan, told: Callable[[str], None] | None = None) -> None:
-        """Ask for a job's state, now and later; `told` gets the job's name where a state is answered."""
-        if self._timeline.now > self.asking_until:
+    def poll_state(self, job: JobPlan, on_state: Callable[[str], None] | None = None) -> None:
+        """Poll a job's state, now and again later; `on_state` gets the job's name where a state is answered."""
+        if self._timeline.now > self.polling_until:
             return
         asked_at = self._timeline.now
 
         def done(status: int | None, body: bytes) -> None:
             state = self._take_state(job, asked_at, status, body)
-            if state and told is not None:
-                told(job.name)
+            if state and on_state is not None:
+                on_state(job.name)
             if state not in ("done", "failed", "cancelled") or self._random.random() < 0.5:
-                self._later(lambda: self.look(job))
+                self._later(lambda: self.poll_state(job))
 
-        self._ask("GET", job, b"", done)
+        self._request("GET", job, b"", done)
 
     def _take_state(self, job: JobPlan, asked_at: float, status: int | None, body: bytes) -> str:
         if status == OK:
@@ -327,7 +340,7 @@
         self._timeline.after(self._random.uniform(0.3, 5.0), call)
 
     def cancel(self, job: JobPlan, tries: int = 5) -> None:
-        """Cancel a job, again where no answer comes."""
+        """Cancel a job, with retries."""
         self._events.cancel_sent(job)
 
         def done(status: int | None, body: bytes) -> None:
@@ -336,11 +349,11 @@
             elif tries > 1:
                 self._timeline.after(self._random.uniform(0.05, 1.0), lambda: self.cancel(job, tries - 1))
 
-        self._ask("DELETE", job, b"", done)
+        self._request("DELETE", job, b"", done)
 
 
 class Operator:
-    """Sends configurations, each again until it is answered clearly. `put` is called with each that may be in force."""
+    """Sends configurations, each repeatedly until there is a definite answer. `put` is called with each of them."""
 
     def __init__(
         self, timeline: Timeline, random: Random, dispatchers: list[Dispatcher], put: Callable[[dict[str, Any]], None]
@@ -351,11 +364,11 @@
 
     @property
     def version(self) -> int:
-        """The version that it takes to be in force; 0: none yet."""
+        """The version that it believes to be in force; 0 before the first."""
         return int(self.current.get("version", 0))
 
     def change(self, document: dict[str, Any]) -> None:
-        """Put a configuration into force, whole; nothing while another change is under way."""
+        """Send a complete configuration; does nothing while another change is pending."""
         if self.busy:
             return
         self.busy = True
@@ -377,4 +390,4 @@
             else:
                 self._timeline.after(self._random.uniform(0.1, 0.5), lambda: self._send(document, builds_on))
 
-        self._random.choice(self._dispatchers).call(make, OPERATOR_ANSWER_S, OPERATOR_ANSWER_S, done)
+        self._random.choice(self._dispatchers).call(make, OPERATOR_ANSWER_TIMEOUT_S, OPERATOR_ANSWER_TIMEOUT_S, done)
--- a/millethead/lab/system_facts.py
+++ b/millethead/lab/system_facts.py
@@ -1,4 +1,4 @@
-"""What is known of troubles, jobs and tasks in a history of the emulated system. Times are seconds of true time."""
+"""Records of the disruptions, jobs and tasks in a history of the simulated system. Times are seconds of true time."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class Violation(AssertionError):
-    """A rule is broken."""
+    """Raised when a rule is broken."""
 
     def __init__(self, rule: str, text: str) -> None:
         super().__init__(f"{rule}: {text}")
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True)
 class Trouble:
-    """A span of trouble. `node` empty: of the core."""
+    """A disruption and its duration. An empty `node` stands for the core."""
 
     kind: str
     node: str
@@ -30,24 +30,24 @@
 
 
 class TroubleLog:
-    """All troubles of a history, and who is in touch."""
+    """All disruptions of a history; decides which machines are in touch."""
 
     def __init__(self) -> None:
         self.spans: list[Trouble] = []
 
     def add(self, kind: str, node: str, begins: float, ends: float) -> None:
-        """Note a trouble; `ends` may lie ahead."""
+        """Record a disruption; `ends` may be in the future."""
         self.spans.append(Trouble(kind, node, begins, ends))
 
     def in_touch(self, node: str, at: float) -> bool:
-        """Whether neither the core nor a machine has been in trouble for long enough."""
+        """Whether neither the core nor the machine has been disrupted for CONTACT_S."""
         return not any(
             span.node in ("", node) and span.kind not in HARMLESS and span.begins <= at and span.ends > at - CONTACT_S
             for span in self.spans
         )
 
     def any_between(self, begins: float, ends: float, but: frozenset[str] = frozenset()) -> bool:
-        """Whether there was trouble of a kind that is not left out."""
+        """Whether there was a disruption in a period, except for kinds in `but`."""
         return any(span.kind not in but and span.begins <= ends and span.ends >= begins for span in self.spans)
 
 
--- a/millethead/lab/system_troubles.py
+++ b/millethead/lab/system_troubles.py
@@ -1,4 +1,4 @@
-"""Troubles of the emulated system, drawn by a seed: each kind as the deployments' pages list it."""
+"""Random disruptions of the simulated system, by seed: the kinds that the pages of the deployments list."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 from millethead.lab.system_side import HELD_BACK_S, CallTrouble, SideMachine
 from millethead.lab.system_worker import Condition
 
-MOST_STILL_S = 2.0  # of the chain before a change of the head
-LEAVE_DELAY_S = (0.0, 4.0)  # beyond the time that a draining worker told
+MOST_STILL_S = 2.0  # for which the chain commits nothing before a change of the head
+LEAVE_DELAY_S = (0.0, 4.0)  # beyond the remaining time that a draining worker announced
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +28,7 @@
 
 
 class TroubledWorld(Protocol):
-    """What troubles act on."""
+    """The parts of the world that disruptions act on."""
 
     timeline: Timeline
     core: Core
@@ -58,14 +58,14 @@
 
 
 class Troubles:
-    """Draws troubles for a while. `told` lists what happened."""
+    """Applies random disruptions for a while. `applied` lists them with their times."""
 
     def __init__(
         self, world: TroubledWorld, random: Random, log: TroubleLog, kinds: list[str], settings: TroubleSettings
     ) -> None:
         self._world, self._random, self._log = world, random, log
         self._kinds, self._settings = kinds, settings
-        self.told: list[tuple[float, str]] = []
+        self.applied: list[tuple[float, str]] = []
         if kinds:
             self._next()
 
@@ -82,7 +82,7 @@
     def _note(self, kind: str, node: str, lasts_s: float, text: str) -> None:
         now = self._world.timeline.now
         self._log.add(kind, node, now, now + lasts_s)
-        self.told.append((now, f"{text} {node} {lasts_s:.2f} s".replace("  ", " ")))
+        self.applied.append((now, f"{text} {node} {lasts_s:.2f} s".replace("  ", " ")))
 
     def _side(self) -> SideMachine | None:
         sides = [side for side in self._world.sides if not side.removed]
@@ -306,10 +306,10 @@
     def lose_answers(self) -> None:
         lasts, clients = self._length(), self._world.clients
         self._note("clients", "", 0.0, "answers to clients are lost")
-        clients.loss, clients.impatient = self._random.choice((0.1, 0.5)), self._random.choice((0.0, 0.3))
+        clients.answer_loss, clients.without_retry = self._random.choice((0.1, 0.5)), self._random.choice((0.0, 0.3))
 
         def end() -> None:
-            clients.loss = clients.impatient = 0.0
+            clients.answer_loss = clients.without_retry = 0.0
 
         self._world.timeline.after(lasts, end)
 
@@ -321,10 +321,10 @@
         lasts, clients = self._length(), self._world.clients
         self._note("dispatcher", dispatcher.name, lasts, "dispatcher frozen")
         dispatcher.freeze()
-        clients.leaving = self._random.choice((0.0, 0.3, 0.6))
+        clients.cancelling_early = self._random.choice((0.0, 0.3, 0.6))
 
         def end() -> None:
-            clients.leaving = 0.0
+            clients.cancelling_early = 0.0
             dispatcher.thaw()
 
         self._world.timeline.after(lasts, end)
--- a/millethead/lab/system_wire.py
+++ b/millethead/lab/system_wire.py
@@ -1,4 +1,4 @@
-"""Connections of the emulated system: records in order, after a delay; a cut holds them up, and a reset loses them."""
+"""Simulated connections: records arrive in order after a delay, are delayed by a partition, and are lost by a reset."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
         self.open = True
         self.received: Callable[[Record], None] = lambda record: None
         self.closed: Callable[[], None] = lambda: None
-        self.held: list[Record | None] = []  # arrived at the cut; None: the other end has closed
+        self.held: list[Record | None] = []  # delayed by a partition; None: the other end has closed
         self.last_at = 0.0
 
     def send(self, record: Record) -> None:
@@ -29,7 +29,7 @@
             self._wire.carry(self.other, record)
 
     def close(self) -> None:
-        """Close, as a reset: what a cut holds up is lost, and the other end sees it once it can."""
+        """Reset the connection: delayed records are lost, and the other end is notified after the partition."""
         if not self.open:
             return
         self.open = False
@@ -37,11 +37,11 @@
         self._wire.carry(self.other, None)
 
     def vanish(self) -> None:
-        """This end's machine loses power: it says nothing any more."""
+        """Close this end without notifying the other one, like a machine that loses power."""
         self.open = False
 
     def take(self, item: Record | None) -> None:
-        """Something has arrived."""
+        """Handle a record, or the end of the connection."""
         if not self.open:
             return
         if item is None:
@@ -61,7 +61,7 @@
         self.cut = False
 
     def carry(self, to: WireEnd, item: Record | None) -> None:
-        """Bring something to an end after a delay, in order."""
+        """Deliver a record or a close to an end after a delay, in order."""
         now = self._timeline.now
         to.last_at = max(now + self._random.uniform(LEAST_DELAY_S, MOST_DELAY_S), to.last_at)
         self._timeline.after(to.last_at - now, lambda: self._arrive(to, item))
@@ -73,7 +73,7 @@
             to.take(item)
 
     def set_cut(self, cut: bool) -> None:
-        """Cut the connection without a word, or join it again: what was held up arrives."""
+        """Partition the connection silently, or heal it, which delivers the delayed records."""
         self.cut = cut
         if cut:
             return
--- a/millethead/lab/system_world.py
+++ b/millethead/lab/system_world.py
@@ -71,7 +71,7 @@
     starts: int = 0
     looks: int = 0
     ends: dict[str, int] = field(default_factory=dict)
-    told: list[tuple[float, str]] = field(default_factory=list)
+    disruptions: list[tuple[float, str]] = field(default_factory=list)
 
 
 class SystemWorld:
@@ -289,7 +289,7 @@
     # ---- the play ----------------------------------------------------------------------------------------
 
     def play(self) -> History:
-        """Run the history; a fault is told in what it returns."""
+        """Run the history and return it, with the fault if there is one."""
         try:
             self._play()
         except Violation as fault:
@@ -340,18 +340,18 @@
             clock.wall_error_ms = 0.0
         for dispatcher in self.dispatchers:
             dispatcher.thaw()
-        self.clients.leaving = 0.0
+        self.clients.cancelling_early = 0.0
         self.timeline.after(HEAL_S, self.core.heal)
-        self.clients.loss = 0.0
+        self.clients.answer_loss = 0.0
 
     def _ask_for_all(self) -> None:
         """Every job is known, and answers come in time."""
-        self.clients.asking_until = 0.0
+        self.clients.polling_until = 0.0
         asked: Counter[str] = Counter()
         wanted = [facts for facts in self.oracle.idle.known() if facts.plan.queue in self._routes]
         for facts in wanted:
-            self.clients.asking_until = self.timeline.now
-            self.clients.look(facts.plan, lambda name: asked.update([name]))
+            self.clients.polling_until = self.timeline.now
+            self.clients.poll_state(facts.plan, lambda name: asked.update([name]))
         self.timeline.run(self.timeline.now + 3.0)
         missing = [facts.plan.name for facts in wanted if not asked[facts.plan.name]]
         if missing:
@@ -363,7 +363,11 @@
 
     def _count(self) -> None:
         history = self.history
-        history.seconds, history.events, history.told = self.timeline.now, self.timeline.events, self.troubles.told
+        history.seconds, history.events, history.disruptions = (
+            self.timeline.now,
+            self.timeline.events,
+            self.troubles.applied,
+        )
         history.epochs, history.starts, history.ends = self.core.epoch, self.oracle.starts, self.oracle.ends
         history.looks = sum(side.looks for side in self.sides)
         for facts in self.oracle.jobs.values():
--- a/tests/test_system_world.py
+++ b/tests/test_system_world.py
@@ -40,7 +40,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_history_holds(seed: int) -> None:
     history = play(seed)
-    assert not history.fault, history.told
+    assert not history.fault, history.disruptions
     assert history.starts > 0
 
 
