A task that a worker rejects goes elsewhere, and rejections do not restart the starvation time

Cause: a rejected start ends the run as one that never began, which was no reason to go elsewhere, so affinity took the task back to that worker after each pause; and the starvation rule (2 s) counted from the end of the last try. Ruled out: the worker's health (such ends count neither way), the wait for a rack (only where the rack has no room).

Change: a task avoids a worker that has rejected it for 5 s, as one on which it failed; where nothing else fits it goes back. An end without a beginning leaves the step's idle time as it was.

Red before: FAILED test_task_that_a_worker_rejects_goes_elsewhere_despite_its_affinity, test_rejected_starts_do_not_restart_the_starvation_time, test_rejection_is_forgotten_after_a_while.

--- a/millethead/control/scheduler_sync.py
+++ b/millethead/control/scheduler_sync.py
@@ -28,6 +28,7 @@
 
 RESTART_BACKOFF_S = (0.2, 2.0)  # first and longest backoff of a long-running task whose runs end early
 REJECT_BACKOFF_S = (0.05, 1.0)  # first and longest backoff of a task that workers reject
+REJECTION_MEMORY_S = 5.0  # for which a task avoids a worker that has rejected it
 BACKOFF_RESET_S = 5.0  # the backoff starts anew after a run of at least this duration
 
 
@@ -60,6 +61,7 @@
         self._backing_off: list[tuple[float, StepKey, int]] = []  # (monotonic time, step, task)
         self._backoffs: dict[tuple[StepKey, int], _Backoff] = {}
         self._failed_on: dict[tuple[StepKey, int], frozenset[str]] = {}
+        self._rejected_until: dict[tuple[StepKey, int], dict[str, float]] = {}  # by worker instance
         self._steps: set[StepKey] = set()
         self._latency = LatencyTracker()
         self._late_jobs: list[LateJob] = []
@@ -224,6 +226,9 @@
         if ended.how is RunEnd.FAILED:
             earlier = self._failed_on.get((key, run.index), frozenset())
             self._failed_on[key, run.index] = earlier | {instance}
+        elif ended.how is RunEnd.NEVER:
+            rejected_until = self._rejected_until.setdefault((key, run.index), {})
+            rejected_until[instance] = moment.now + REJECTION_MEMORY_S
         backoff_s = self._backoff_s(job, key, run.index, ended.how, moment)
         if backoff_s:
             heapq.heappush(self._backing_off, (moment.now + backoff_s, key, run.index))
@@ -232,11 +237,17 @@
 
     def _queue_task(self, job: Job, key: StepKey, index: int, moment: Moment) -> None:
         task = job.at_time(key.time).steps[key.step].tasks[index]
-        avoid = self._failed_on.get((key, index), frozenset())
+        avoid = self._avoided_workers(key, index, moment.now)
         pending = PendingTask(index, self._checkpoint(job, key, task), moment.now, avoid)
         if key in self._steps:
             self._scheduler.task_waits(key, pending, moment.now)
 
+    def _avoided_workers(self, key: StepKey, index: int, now: float) -> frozenset[str]:
+        """Return the workers on which a task has failed, and those that have rejected it lately."""
+        rejected_until = self._rejected_until.get((key, index), {})
+        rejected = {instance for instance, until in rejected_until.items() if now < until}
+        return self._failed_on.get((key, index), frozenset()) | rejected
+
     def _backoff_s(self, job: Job, key: StepKey, index: int, how: RunEnd, moment: Moment) -> float:
         """Return for how many seconds a task waits before it may be scheduled again; 0 for immediately."""
         long_running = job.description.steps[key.step].long_running
@@ -261,6 +272,7 @@
     def _forget_task(self, key: StepKey, index: int) -> None:
         self._backoffs.pop((key, index), None)
         self._failed_on.pop((key, index), None)
+        self._rejected_until.pop((key, index), None)
 
     def _time_done(self, job: Job, time: int, moment: Moment) -> None:
         """All steps of a job are done at one time: if it was late, keep the breakdown of its latency for the log."""
--- a/millethead/scheduling/scheduler.py
+++ b/millethead/scheduling/scheduler.py
@@ -191,7 +191,7 @@
             return
         self._runtime_observer.run_ended(known_run, self._hosts.get(instance), outcome, now)
         self._release_run(known_run)
-        if not known_run.step.run_instances:
+        if not known_run.step.run_instances and outcome is not RunEnd.NEVER:
             known_run.step.idle_since = now
         update_step_bookkeeping(known_run.step, now)
         self._apply_health()
--- a/millethead/scheduling/state.py
+++ b/millethead/scheduling/state.py
@@ -97,7 +97,7 @@
     backlog_tasks: int = 0  # waiting tasks included in the backlog of the service
     gang_capacity_bound: int = 0  # upper bound of the members of a gang that fit
     arrived_at: float = inf  # when its first task waited
-    idle_since: float = inf  # since when none of its tasks has a run
+    idle_since: float = inf  # since when none of its tasks has run; a run that never started does not count
     is_simple: bool = field(init=False)  # where a task fits depends only on needs and labels
     reserve_at: float = -inf  # earliest next reservation
     preempt_at: float = -inf  # earliest next preemption
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -30,7 +30,7 @@
 from millethead.control.configuration_stream import CallerSession
 from millethead.control.head import Head
 from millethead.control.retention import PURGE_INTERVAL_S, RETENTION_MARGIN_S
-from millethead.control.scheduler_sync import Moment, SchedulerSync
+from millethead.control.scheduler_sync import REJECTION_MEMORY_S, Moment, SchedulerSync
 from millethead.control.scheduling_loop import MIN_PASS_INTERVAL_S
 from millethead.control.state import ControlState
 from millethead.execution.messages import (
@@ -1008,6 +1008,47 @@
     assert agent.orders() == [f"{task()}#2"]
 
 
+def rejecting_harness() -> tuple[HeadHarness, Agent, list[Agent]]:
+    """A worker in the rack of a job's data, and two in another rack."""
+    harness = HeadHarness()
+    near = harness.agent("n-1", worker("i-1", labels=("a", "r1-1")))
+    far = [harness.agent(f"n-{number}", worker(f"i-{number}", labels=("a", "r1-2"))) for number in (2, 3)]
+    harness.ask("POST", NAME, job({"affinity": "r1-1", "estimate_ms": 60_000}))
+    harness.settle()
+    return harness, near, far
+
+
+def test_task_that_a_worker_rejects_goes_elsewhere_despite_its_affinity() -> None:
+    """Guards against LOST: a task went back to the worker near its data, which answered 503, beside idle workers."""
+    harness, near, far = rejecting_harness()
+    assert near.orders() == [f"{task()}#1"]
+    near.report(ended(task(), 1, RunEnd.NEVER, 0))
+    harness.pass_time(1.0)
+    assert near.orders() == []
+    assert [order for agent in far for order in agent.orders()] == [f"{task()}#2"]
+
+
+def test_rejected_task_returns_to_the_only_worker() -> None:
+    harness = HeadHarness()
+    agent = harness.agent()
+    harness.ask("POST", body=job())
+    for run in range(1, 4):
+        assert agent.orders() == [f"{task()}#{run}"]
+        agent.report(ended(task(), run, RunEnd.NEVER, 0))
+        harness.pass_time(1.25)
+
+
+def test_rejection_is_forgotten_after_a_while() -> None:
+    harness, near, _ = rejecting_harness()
+    near.orders()
+    near.report(ended(task(), 1, RunEnd.NEVER, 0))
+    harness.settle()
+    key = StepKey(NAME, 0, 0)
+    sync, now = harness.head.scheduler_sync, harness.clock.now()
+    assert sync._avoided_workers(key, 0, now) == {"i-1"}
+    assert sync._avoided_workers(key, 0, now + REJECTION_MEMORY_S) == set()
+
+
 # ---- worker instances and leases -------------------------------------------------------------------------
 
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -34,6 +34,7 @@
 )
 from millethead.scheduling.reservation import Plan, reserve
 from millethead.scheduling.scheduler import Scheduler
+from millethead.scheduling.starvation import starving_steps
 from millethead.scheduling.state import OVERLOAD_SIZE_DELAY_FACTOR, OVERLOAD_SLACK_FRACTION, SIZE_DELAY_FACTOR
 from millethead.scheduling.tags import ArrivalRate, Phase, TagSchedule
 
@@ -1235,6 +1236,19 @@
     assert not scheduler.schedule(5.0).placements
 
 
+def test_rejected_starts_do_not_restart_the_starvation_time() -> None:
+    """Guards against LOST: the time without a run was counted from the last start that a worker rejected."""
+    scheduler = make_scheduler(make_worker("near", "r1"), make_worker("far", "r2"), make_worker("other", "r2"))
+    scheduler.put_step(make_step("waits", affinity="r1", estimate_s=90.0))
+    for run, now in enumerate((0.0, 0.7, 1.4), 1):
+        (placement,) = scheduler.schedule(now).placements
+        assert placement.instance == "near"
+        scheduler.run_started(placement.key, 0, "near", run, now)
+        scheduler.run_ended(placement.key, 0, "near", run, RunEnd.NEVER, now)
+        scheduler.task_waits(placement.key, PendingTask(0, "", now), now)
+    assert [step.key.job for step in starving_steps(scheduler._pool("s"), 2.1)] == ["waits"]
+
+
 def test_starving_step_is_found_behind_steps_with_runs() -> None:
     scheduler = make_scheduler(make_worker("sound", "r1"), make_worker("avoided", "r2"), make_worker("other", "r1"))
     _avoid(scheduler, "avoided")
