An answer of an unhealthy worker does not show which instance it is; ranges in findings in full

A new instance that is unhealthy may answer so before it looks for whom the call is; its heartbeats would then have been ignored for good. Only 200 and 409 show the instance now.

--- a/millethead/configuration/check.py
+++ b/millethead/configuration/check.py
@@ -26,7 +26,7 @@
     """The largest value of a number of a route."""
 
     field: str
-    largest: float
+    largest: int
 
 
 ROUTE_LIMITS = (
@@ -75,7 +75,7 @@
     These numbers are not checked by `check`, which also reads configurations that earlier builds have accepted.
     """
     return [
-        Finding(f"routes[{index}].{limit.field}", f"is not in the range from 0 to {limit.largest:g}")
+        Finding(f"routes[{index}].{limit.field}", f"is not in the range from 0 to {limit.largest}")
         for index, route in enumerate(configuration.routes)
         for limit in ROUTE_LIMITS
         if not 0 <= getattr(route, limit.field) <= limit.largest
--- a/millethead/execution/agent.py
+++ b/millethead/execution/agent.py
@@ -310,15 +310,23 @@
 
     def _apply_received_answer(self, worker: WorkerInstance, call: WorkerCall, answer: CallAnswer, now: float) -> None:
         worker.record_answer(now)
-        newly_confirmed = not worker.is_confirmed
-        worker.has_answered = self._worker_known = True
-        if newly_confirmed:
-            self._send_worker_update()
-        self._settle_claim(worker, answer.sent_at)
+        if answer.status in (
+            CallStatus.DONE,
+            CallStatus.REJECTED,
+        ):  # an unhealthy worker may not look for whom a call is
+            self._instance_answered(worker, answer.sent_at)
         if answer.clock_ms is not None:
             worker.clock.add_reading(answer.clock_ms, answer.sent_at, answer.ended_at)
         if answer.rejection is Rejection.FENCE and call.fence == self.epoch:  # otherwise a newer call overtook this one
             self._fence_rejected()
+
+    def _instance_answered(self, worker: WorkerInstance, sent_at: float) -> None:
+        """Record that the instance answered a call that was sent at `sent_at`, so that all others have ended."""
+        newly_confirmed = not worker.is_confirmed
+        worker.has_answered = self._worker_known = True
+        if newly_confirmed:
+            self._send_worker_update()
+        self._settle_claim(worker, sent_at)
         while self._deferred_lists:
             ended = self._deferred_lists.popleft().instance
             if ended not in self._ended_instances and ended != worker.instance:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -776,6 +776,19 @@
     assert harness.ends() == []
 
 
+@pytest.mark.parametrize("status", [CallStatus.UNHEALTHY, CallStatus.INVALID])
+def test_refusal_of_an_unhealthy_worker_does_not_show_which_instance_it_is(status: CallStatus) -> None:
+    """Guards against a new instance whose heartbeats are ignored, since it answered 503 before it looked for whom."""
+    harness = running_harness()
+    harness.order_runs(order("b.0.0.0"))
+    harness.heartbeat(info("i-2"))
+    harness.answer(harness.only_call(StartCall), status)
+    assert not harness.records(LifeOver)
+    harness.answer(harness.only_call(PollCall), CallStatus.WRONG_INSTANCE)
+    assert harness.records(LifeOver) == [LifeOver("i-1")]
+    assert harness.records(WorkerUpdate)[-1] == WorkerUpdate(info("i-2"))
+
+
 def test_instance_whose_calls_are_unanswered_is_not_ended_by_a_heartbeat_of_another() -> None:
     """Guards against ending runs whose deadline has not passed; the new instance is known once the worker answers."""
     harness = running_harness()
